--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark experiments."""
--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,50 @@
+"""Run experiments and write their records as JSON."""
+
+import importlib
+import pathlib
+import time
+from typing import Annotated
+
+import msgspec
+import typer
+
+EXPERIMENTS: tuple[str, ...] = ()
+
+
+def main(
+    *,
+    output: Annotated[
+        pathlib.Path, typer.Option(help="File for the records.")
+    ] = pathlib.Path("build/bench.json"),
+    experiment: Annotated[
+        list[str] | None, typer.Option(help="Run only this experiment.")
+    ] = None,
+    seeds: Annotated[
+        int, typer.Option(min=1, help="Number of seeds, from 1 up.")
+    ] = 1,
+) -> None:
+    """Run the experiments."""
+    records = []
+    for name in experiment or EXPERIMENTS:
+        if name not in EXPERIMENTS:
+            raise typer.BadParameter(
+                f"{name!r} is not one of {', '.join(EXPERIMENTS)}"
+            )
+        module = importlib.import_module(f"benchmarks.{name}")
+        started = time.monotonic()
+        for record in module.run(range(1, seeds + 1)):
+            records.append(record)
+            typer.echo(
+                f"{record.experiment:9} {record.policy:24} "
+                f"seed={record.seed} {record.metric}="
+                f"{record.value:.6g} {record.unit}"
+            )
+        typer.echo(f"{name}: {time.monotonic() - started:.1f} s")
+    output.parent.mkdir(parents=True, exist_ok=True)
+    output.write_bytes(
+        msgspec.json.format(msgspec.json.encode(records), indent=1)
+    )
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration launcher."""
--- /dev/null
+++ b/src/cyclamenridge/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports."""
--- /dev/null
+++ b/src/cyclamenridge/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Client library for callers."""
--- /dev/null
+++ b/src/cyclamenridge/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command groups of the command line."""
--- /dev/null
+++ b/src/cyclamenridge/clock.py
@@ -0,0 +1,36 @@
+"""Time source in milliseconds."""
+
+import abc
+import time
+
+
+class Clock(abc.ABC):
+    """Source of monotonic time."""
+
+    @abc.abstractmethod
+    def now_ms(self) -> int:
+        """Return the monotonic time in milliseconds."""
+
+
+class MonotonicClock(Clock):
+    """The clock of the operating system."""
+
+    def now_ms(self) -> int:
+        """Return the monotonic time in milliseconds."""
+        return time.monotonic_ns() // 1_000_000
+
+
+class ManualClock(Clock):
+    """A clock that tests and benchmarks move by hand."""
+
+    def __init__(self, start_ms: int = 0) -> None:
+        self._now_ms = start_ms
+
+    def now_ms(self) -> int:
+        """Return the time that was set last."""
+        return self._now_ms
+
+    def advance(self, delta_ms: int) -> int:
+        """Move the clock forward and return the new time."""
+        self._now_ms += delta_ms
+        return self._now_ms
--- /dev/null
+++ b/src/cyclamenridge/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration model, loading, revisions and differences."""
--- /dev/null
+++ b/src/cyclamenridge/control/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and configuration exchange between balancers."""
--- /dev/null
+++ b/src/cyclamenridge/feed/__init__.py
@@ -0,0 +1,1 @@
+"""Long-lived flows between callers and backend servers."""
--- /dev/null
+++ b/src/cyclamenridge/node/__init__.py
@@ -0,0 +1,1 @@
+"""Balancer core: events in, effects out."""
--- /dev/null
+++ b/src/cyclamenridge/node/effects.py
@@ -0,0 +1,111 @@
+"""Output of the balancer core."""
+
+import dataclasses
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.config import document as document_lib
+from cyclamenridge.node import events
+
+Address = address_lib.Address
+ServerRef = events.ServerRef
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendCaller:
+    """Send a datagram from the caller port."""
+
+    dest: Address
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendPeer:
+    """Send a datagram from the peer port.
+
+    :param control: counts towards the control budget; a forwarded caller
+        datagram does not
+    """
+
+    dest: Address
+    data: bytes
+    control: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenLink:
+    """Connect to a server and check its identity with ``hello``.
+
+    Ends in LinkUp or LinkDown with the same ``link_id``.
+    """
+
+    server: ServerRef
+    link_id: int
+    address: Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloseLink:
+    """Close a link; no LinkDown follows."""
+
+    server: ServerRef
+    link_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendLink:
+    """Send an encoded message on a link."""
+
+    server: ServerRef
+    link_id: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadStore:
+    """Read the configuration document once."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchStore:
+    """Start or stop watching the configuration and the instance list."""
+
+    active: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteStore:
+    """Write a document back if the key still has ``mod_revision``."""
+
+    document: document_lib.Document
+    mod_revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateChanged:
+    """A change of state that deserves one log line."""
+
+    subject: str
+    old: str
+    new: str
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stopped:
+    """The planned stop is complete; the process may exit."""
+
+    exit_code: int
+
+
+Effect = (
+    SendCaller
+    | SendPeer
+    | OpenLink
+    | CloseLink
+    | SendLink
+    | ReadStore
+    | WatchStore
+    | WriteStore
+    | StateChanged
+    | Stopped
+)
--- /dev/null
+++ b/src/cyclamenridge/node/events.py
@@ -0,0 +1,130 @@
+"""Input of the balancer core."""
+
+import dataclasses
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.config import document as document_lib
+from cyclamenridge.wire import backend
+from cyclamenridge.wire import rpc
+
+Address = address_lib.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class ServerRef:
+    """Names a backend server within a service."""
+
+    service: str
+    server: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerDatagram:
+    """A datagram arrived on the caller port."""
+
+    source: Address
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerDatagram:
+    """A datagram arrived on the peer port."""
+
+    source: Address
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkUp:
+    """A link is connected and the server answered ``hello``."""
+
+    server: ServerRef
+    link_id: int
+    identity: backend.Identity
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkDown:
+    """A link, or an attempt to open one, ended."""
+
+    server: ServerRef
+    link_id: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkMessage:
+    """A message arrived on a link."""
+
+    server: ServerRef
+    link_id: int
+    message: rpc.Message
+
+
+class InstanceState:
+    """State of an instance in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedInstance:
+    """An instance in the platform's list.
+
+    :param role: ``balancer``, or the service of a backend server
+    """
+
+    name: str
+    role: str
+    address: Address
+    failure_domain: str
+    state: str = InstanceState.LIVE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstancesListed:
+    """The platform's instance list was read."""
+
+    instances: tuple[ListedInstance, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreRead:
+    """The store answered a read or a watch; None when the key is absent."""
+
+    document: document_lib.Document | None
+    mod_revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreFailed:
+    """A call to the store failed or its watch ended."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRequested:
+    """The operator asked for a planned stop."""
+
+    deadline_ms: int
+
+
+Event = (
+    CallerDatagram
+    | PeerDatagram
+    | LinkUp
+    | LinkDown
+    | LinkMessage
+    | InstancesListed
+    | StoreRead
+    | StoreFailed
+    | Tick
+    | StopRequested
+)
--- /dev/null
+++ b/src/cyclamenridge/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces that the core needs from the outside."""
--- /dev/null
+++ b/src/cyclamenridge/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Hash-based placement of sessions, feeds and packets."""
--- /dev/null
+++ b/src/cyclamenridge/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, slot shares and server choice of a service."""
--- /dev/null
+++ b/src/cyclamenridge/session/__init__.py
@@ -0,0 +1,1 @@
+"""Request sessions, windows and part reassembly."""
--- /dev/null
+++ b/src/cyclamenridge/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages exchanged with callers and backend servers."""
--- /dev/null
+++ b/src/cyclamenridge/wire/caller.py
@@ -0,0 +1,161 @@
+"""Messages of the caller protocol (MessagePack-RPC over UDP)."""
+
+import enum
+from typing import Annotated
+
+import msgspec
+import xxhash
+
+MAX_DATAGRAM_BYTES = 1400
+MAX_PART_BYTES = 1024
+MAX_PARTS = 8192
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=63)]
+TokenBytes = Annotated[bytes, msgspec.Meta(max_length=64)]
+Sequence = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+
+
+class Outcome(enum.StrEnum):
+    """What a caller is told about a request."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    PENDING = "pending"
+
+
+class Reason(enum.StrEnum):
+    """Why a request was not answered."""
+
+    NONE = ""
+    OVERLOADED = "overloaded"
+    LEAVING = "leaving"
+    EXPIRED = "expired"
+    CANCELLED = "cancelled"
+    NO_SERVER = "no_server"
+    BAD_REQUEST = "bad_request"
+    SEQ_REUSED = "seq_reused"
+    SERVER_LOST = "server_lost"
+    OWNER_LOST = "owner_lost"
+    WINDOW_PASSED = "window_passed"
+    TOO_LARGE = "too_large"
+
+
+class Open(msgspec.Struct, frozen=True, array_like=True):
+    """Ask for a session with a service."""
+
+    service: Name
+    customer: Name
+    nonce: Sequence
+
+
+class Grant(msgspec.Struct, frozen=True, array_like=True):
+    """A session that was granted."""
+
+    token: TokenBytes
+
+
+class Call(msgspec.Struct, frozen=True, array_like=True):
+    """One part of a request."""
+
+    token: TokenBytes
+    seq: Sequence
+    kind: Name
+    attempt: Annotated[int, msgspec.Meta(ge=1, le=1000)]
+    deadline_ms: Annotated[int, msgspec.Meta(ge=1, le=600_000)]
+    part: Annotated[int, msgspec.Meta(ge=0, lt=MAX_PARTS)]
+    parts: Annotated[int, msgspec.Meta(ge=1, le=MAX_PARTS)]
+    check: Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
+    payload: Annotated[bytes, msgspec.Meta(max_length=MAX_PART_BYTES)]
+
+
+class Reply(msgspec.Struct, frozen=True, array_like=True):
+    """One part of the outcome of a request.
+
+    While ``outcome`` is pending, ``part`` is the first part of the request
+    that has not arrived yet.
+    """
+
+    seq: Sequence
+    check: int
+    outcome: Outcome
+    reason: Reason = Reason.NONE
+    retry_after_ms: int = 0
+    part: int = 0
+    parts: int = 1
+    payload: bytes = b""
+
+
+class Cancel(msgspec.Struct, frozen=True, array_like=True):
+    """Ask that a request be abandoned."""
+
+    token: TokenBytes
+    seq: Sequence
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True):
+    """The caller has all parts of a reply below ``part``.
+
+    ``part`` equal to the number of parts frees the record of the reply.
+    """
+
+    token: TokenBytes
+    seq: Sequence
+    part: int
+
+
+class Subscribe(msgspec.Struct, frozen=True, array_like=True):
+    """Open a feed within a session."""
+
+    token: TokenBytes
+    kind: Name
+    nonce: Sequence
+    last_seq: Sequence
+
+
+class FeedGrant(msgspec.Struct, frozen=True, array_like=True):
+    """A feed with the token that is valid now."""
+
+    token: TokenBytes
+    feed_id: int
+
+
+class Keepalive(msgspec.Struct, frozen=True, array_like=True):
+    """Sent by the caller while it listens to a feed."""
+
+    token: TokenBytes
+    last_seq: Sequence
+
+
+class Close(msgspec.Struct, frozen=True, array_like=True):
+    """End a session or a feed."""
+
+    token: TokenBytes
+
+
+class Datagram(msgspec.Struct, frozen=True, array_like=True):
+    """A packet without a routing token."""
+
+    service: Name
+    payload: Annotated[bytes, msgspec.Meta(max_length=MAX_PART_BYTES)]
+
+
+class Event(msgspec.Struct, frozen=True, array_like=True):
+    """A message of a feed to its caller."""
+
+    feed_id: int
+    seq: int
+    payload: bytes
+
+
+class Refusal(msgspec.Struct, frozen=True, array_like=True):
+    """Error of ``open``, ``subscribe`` and ``keepalive``."""
+
+    reason: Reason
+    retry_after_ms: int = 0
+
+
+def payload_check(payload: bytes) -> int:
+    """Return the check that ties a reply to the payload of its request."""
+    return xxhash.xxh32_intdigest(payload)
