--- /dev/null
+++ b/src/cyclamenridge/scheduling/usage.py
@@ -0,0 +1,111 @@
+"""Slots in use, work times and floor credits by kind of work."""
+
+from collections.abc import Mapping
+import math
+
+USE_WINDOW_MS = 1000
+# Before a kind has run, its work is taken to last this long.
+FIRST_WORK_MS = 50.0
+WORK_WEIGHT = 0.05
+# A kind that waits may save up this much time of its floor.
+MAX_CREDIT_MS = 2000
+
+
+class _Kind:
+    def __init__(self) -> None:
+        self.running = 0
+        self.used = 0.0
+        self.used_ms = 0
+        self.work_ms = FIRST_WORK_MS
+        self.floor = 0.0
+        self.credit = 0.0
+        self.credit_ms = 0
+
+    def advance(self, now_ms: int) -> None:
+        """Bring the average of slots in use and the credit up to date."""
+        elapsed_ms = now_ms - self.used_ms
+        if elapsed_ms <= 0:
+            return
+        weight = math.exp(-elapsed_ms / USE_WINDOW_MS)
+        self.used = weight * self.used + (1 - weight) * self.running
+        self.used_ms = now_ms
+        limit = max(self.work_ms, self.floor * MAX_CREDIT_MS)
+        self.credit = min(limit, self.credit + self.floor * elapsed_ms)
+
+
+class KindUsage:
+    """What kinds of work use and what their floors entitle them to.
+
+    The floor of a kind is often less than one slot of one balancer, so it
+    is kept as credit of slot time: it grows with time and a request that
+    starts takes its work time from it.
+    """
+
+    def __init__(self) -> None:
+        self._kinds: dict[str, _Kind] = {}
+
+    def set_kinds(self, kinds: tuple[str, ...]) -> None:
+        """Set the kinds; what is known of those that stay is kept."""
+        self._kinds = {
+            kind: self._kinds.get(kind) or _Kind() for kind in kinds
+        }
+
+    def set_floors(self, now_ms: int, floors: Mapping[str, float]) -> None:
+        """Set the slots that each kind keeps."""
+        for name, kind in self._kinds.items():
+            kind.advance(now_ms)
+            kind.floor = floors.get(name, 0.0)
+
+    def started(self, now_ms: int, kind: str) -> None:
+        """Count a request that starts."""
+        state = self._kinds[kind]
+        state.advance(now_ms)
+        state.running += 1
+        state.credit -= state.work_ms
+
+    def ended(self, now_ms: int, kind: str, ran_ms: float) -> None:
+        """Count a request that ends, after it held its slot this long."""
+        state = self._kinds.get(kind)
+        if state is None:
+            return
+        state.advance(now_ms)
+        state.running = max(0, state.running - 1)
+        limit = max(state.work_ms, state.floor * MAX_CREDIT_MS)
+        state.credit = max(-limit, state.credit + state.work_ms - ran_ms)
+
+    def worked(self, kind: str, work_ms: float) -> None:
+        """Take in the work time of a request that was answered."""
+        state = self._kinds.get(kind)
+        if state is not None:
+            state.work_ms += WORK_WEIGHT * (max(1.0, work_ms) - state.work_ms)
+
+    def work_ms(self, kind: str) -> float:
+        """Return the usual work time of a kind."""
+        state = self._kinds.get(kind)
+        return state.work_ms if state else FIRST_WORK_MS
+
+    def mean_work_ms(self) -> float:
+        """Return the work time averaged over the slots in use."""
+        used = sum(kind.used for kind in self._kinds.values())
+        if used < 0.01:
+            return FIRST_WORK_MS
+        return (
+            sum(kind.used * kind.work_ms for kind in self._kinds.values())
+            / used
+        )
+
+    def floor_due(self, now_ms: int, kind: str) -> bool:
+        """Whether the kind has credit for a request."""
+        state = self._kinds[kind]
+        state.advance(now_ms)
+        return state.floor > 0 and state.credit >= state.work_ms
+
+    def demand(self, now_ms: int, kind: str, queued: int) -> float:
+        """Return the slots that a kind could use within the next second.
+
+        Rounded to what every member represents exactly.
+        """
+        state = self._kinds[kind]
+        state.advance(now_ms)
+        slots = max(state.used, state.running) + queued * state.work_ms / 1000
+        return round(slots * 8) / 8
