Add server process, UDP and TCP adapters and caller library

The process around the core needs sockets behind ports. Datagrams are read in batches of 64 per wake-up, what waits to be sent is bounded, and each drop is counted. Backend links carry MessagePack-RPC with a 4-byte length before each message; hello is answered and the identity checked before a link can be used. The caller library resends with rising attempt and backoff, reassembles answers and keeps feeds alive.

--- /dev/null
+++ b/src/cyclamenridge/adapters/backend_link.py
@@ -0,0 +1,159 @@
+"""Connections to backend servers over TCP."""
+
+import asyncio
+import collections
+
+import msgspec
+
+from cyclamenridge import errors
+from cyclamenridge.node import effects
+from cyclamenridge.node import events
+from cyclamenridge.ports import links
+from cyclamenridge.wire import backend
+from cyclamenridge.wire import framing
+from cyclamenridge.wire import rpc
+
+_HELLO_TIMEOUT_S = 2.0
+_READ_BYTES = 256 * 1024
+# A server that does not read what is sent for this long in bytes is
+# treated as lost, so that its backlog cannot exhaust memory.
+_MAX_BACKLOG_BYTES = 32 * 1024 * 1024
+_HELLO_MSGID = 0
+
+
+class TcpLinks(links.Links):
+    """One task and one connection per link."""
+
+    def __init__(
+        self, balancer: str, *, counters: collections.Counter[str]
+    ) -> None:
+        self._balancer = balancer
+        self._counters = counters
+        self._receiver: links.Receiver | None = None
+        self._tasks: dict[tuple[events.ServerRef, int], asyncio.Task] = {}
+        self._writers: dict[
+            tuple[events.ServerRef, int], asyncio.StreamWriter
+        ] = {}
+
+    def set_receiver(self, receiver: links.Receiver) -> None:
+        """Set who gets the events of all links."""
+        self._receiver = receiver
+
+    def open(self, effect: effects.OpenLink) -> None:
+        """Connect and check the identity; ends in LinkUp or LinkDown."""
+        key = (effect.server, effect.link_id)
+        self._tasks[key] = asyncio.get_running_loop().create_task(
+            self._run(effect), name=f"link {effect.server.server}"
+        )
+
+    def send(self, effect: effects.SendLink) -> None:
+        """Send a message if the link still exists."""
+        writer = self._writers.get((effect.server, effect.link_id))
+        if writer is None:
+            self._counters["link_messages_without_link"] += 1
+            return
+        writer.write(framing.encode(effect.data))
+        if writer.transport.get_write_buffer_size() > _MAX_BACKLOG_BYTES:
+            self._counters["link_backlog_exceeded"] += 1
+            writer.transport.abort()
+
+    def close(self, effect: effects.CloseLink) -> None:
+        """Close a link; no LinkDown follows."""
+        key = (effect.server, effect.link_id)
+        task = self._tasks.pop(key, None)
+        if task is not None:
+            task.cancel()
+        writer = self._writers.pop(key, None)
+        if writer is not None:
+            # Sends what is buffered, for example a last ``detach``.
+            writer.close()
+
+    async def stop(self) -> None:
+        """Close all links."""
+        tasks = list(self._tasks.values())
+        self._tasks.clear()
+        for writer in self._writers.values():
+            writer.close()
+        self._writers.clear()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _run(self, effect: effects.OpenLink) -> None:
+        key = (effect.server, effect.link_id)
+        try:
+            reason = await self._connected(effect)
+        except (OSError, errors.LinkError, errors.WireError) as exc:
+            reason = str(exc) or type(exc).__name__
+        finally:
+            writer = self._writers.pop(key, None)
+            if writer is not None:
+                writer.transport.abort()
+        if self._tasks.pop(key, None) is not None:
+            self._emit(events.LinkDown(*key, reason))
+
+    async def _connected(self, effect: effects.OpenLink) -> str:
+        """Serve a link until it ends and return the reason."""
+        key = (effect.server, effect.link_id)
+        decoder = framing.FrameDecoder()
+        try:
+            async with asyncio.timeout(_HELLO_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    effect.address.host, effect.address.port
+                )
+                try:
+                    identity, rest = await self._hello(
+                        effect.server, reader, writer, decoder
+                    )
+                except BaseException:
+                    writer.transport.abort()
+                    raise
+        except TimeoutError as exc:
+            raise errors.LinkError("no answer to hello in time") from exc
+        self._writers[key] = writer
+        self._emit(events.LinkUp(*key, identity))
+        for frame in rest:
+            self._emit(events.LinkMessage(*key, rpc.decode(frame)))
+        while data := await reader.read(_READ_BYTES):
+            for frame in decoder.feed(data):
+                self._emit(events.LinkMessage(*key, rpc.decode(frame)))
+        return "closed by the server"
+
+    async def _hello(
+        self,
+        server: events.ServerRef,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        decoder: framing.FrameDecoder,
+    ) -> tuple[backend.Identity, list[bytes]]:
+        hello = backend.Hello(server.service, server.server, self._balancer)
+        writer.write(framing.encode(rpc.request(_HELLO_MSGID, "hello", hello)))
+        frames: list[bytes] = []
+        while not frames:
+            data = await reader.read(_READ_BYTES)
+            if not data:
+                raise errors.LinkError("closed before hello was answered")
+            frames = decoder.feed(data)
+        answer = rpc.decode(frames[0])
+        if not isinstance(answer, rpc.Response) or answer.error is not None:
+            raise errors.LinkError("hello was refused")
+        try:
+            identity = msgspec.msgpack.decode(
+                answer.result, type=backend.Identity
+            )
+        except msgspec.MsgspecError as exc:
+            raise errors.LinkError(f"bad answer to hello: {exc}") from exc
+        if (identity.service, identity.server) != (
+            server.service,
+            server.server,
+        ):
+            self._counters["identity_mismatch"] += 1
+            raise errors.LinkError(
+                f"identity mismatch: reached {identity.service}/"
+                f"{identity.server}"
+            )
+        return identity, frames[1:]
+
+    def _emit(self, event: links.LinkEvent) -> None:
+        assert self._receiver is not None
+        self._receiver(event)
--- /dev/null
+++ b/src/cyclamenridge/adapters/udp.py
@@ -0,0 +1,118 @@
+"""Datagram port on a UDP socket."""
+
+import asyncio
+import collections
+import functools
+import socket
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.ports import datagrams
+
+# Bounds the time during which one socket keeps the loop from others.
+_BATCH = 64
+# Larger than any valid datagram, so that oversized ones are recognized
+# instead of being cut to a valid length.
+_READ_BYTES = 2048
+_QUEUE_DATAGRAMS = 4096
+_SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+
+# Address objects are made again for each datagram; most of them come from
+# few sources, and building one costs as much as reading the datagram.
+_address = functools.lru_cache(maxsize=65536)(address_lib.Address)
+
+
+class UdpDatagrams(datagrams.Datagrams):
+    """Reads many datagrams per wake-up and bounds what waits to be sent."""
+
+    def __init__(
+        self,
+        bind: address_lib.Address,
+        *,
+        name: str,
+        max_bytes: int,
+        counters: collections.Counter[str],
+    ) -> None:
+        self._name = name
+        self._max_bytes = max_bytes
+        self._counters = counters
+        self._receiver: datagrams.Receiver | None = None
+        self._queue: collections.deque[tuple[address_lib.Address, bytes]] = (
+            collections.deque()
+        )
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.setblocking(False)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._sock.setsockopt(
+                socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES
+            )
+        try:
+            self._sock.bind(bind.as_tuple())
+        except OSError:
+            self._sock.close()
+            raise
+        self.address = address_lib.Address(*self._sock.getsockname())
+
+    def open(self, receiver: datagrams.Receiver) -> None:
+        """Start to pass each datagram that arrives to ``receiver``."""
+        self._receiver = receiver
+        asyncio.get_running_loop().add_reader(self._sock, self._readable)
+
+    def send(self, dest: address_lib.Address, data: bytes) -> None:
+        """Send a datagram, or count it as dropped."""
+        if self._queue:
+            self._enqueue(dest, data)
+            return
+        try:
+            self._sock.sendto(data, (dest.host, dest.port))
+        except BlockingIOError:
+            self._enqueue(dest, data)
+            asyncio.get_running_loop().add_writer(self._sock, self._writable)
+        except OSError:
+            self._count("send_failed")
+
+    def close(self) -> None:
+        """Stop receiving and release the socket."""
+        if self._receiver is not None:
+            loop = asyncio.get_running_loop()
+            loop.remove_reader(self._sock)
+            loop.remove_writer(self._sock)
+        self._sock.close()
+
+    def _readable(self) -> None:
+        assert self._receiver is not None
+        recvfrom = self._sock.recvfrom
+        receive = self._receiver
+        for _ in range(_BATCH):
+            try:
+                data, source = recvfrom(_READ_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                # An ICMP error of an earlier send is reported here.
+                self._count("receive_failed")
+                continue
+            if len(data) > self._max_bytes:
+                self._count("oversized")
+                continue
+            receive(_address(*source), data)
+
+    def _writable(self) -> None:
+        while self._queue:
+            dest, data = self._queue[0]
+            try:
+                self._sock.sendto(data, (dest.host, dest.port))
+            except BlockingIOError:
+                return
+            except OSError:
+                self._count("send_failed")
+            self._queue.popleft()
+        asyncio.get_running_loop().remove_writer(self._sock)
+
+    def _enqueue(self, dest: address_lib.Address, data: bytes) -> None:
+        if len(self._queue) >= _QUEUE_DATAGRAMS:
+            self._count("send_queue_full")
+            return
+        self._queue.append((dest, data))
+
+    def _count(self, what: str) -> None:
+        self._counters[f"{self._name}_datagrams_{what}"] += 1
--- /dev/null
+++ b/src/cyclamenridge/caller/feed.py
@@ -0,0 +1,167 @@
+"""Caller library: a feed of events that survives its balancers."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import logging
+from typing import Protocol
+
+from cyclamenridge.caller import client as client_lib
+from cyclamenridge.caller import order as order_lib
+from cyclamenridge.caller import outcomes
+import cyclamenridge.errors as errors
+from cyclamenridge.wire import caller
+
+KEEPALIVE_MS = 2000
+_SUBSCRIBE_TIMEOUT_MS = 10_000
+# A keepalive that no balancer can answer is given up after this time, as
+# the flow's server and all balancers that know it are then out of reach.
+_KEEPALIVE_TIMEOUT_MS = 15_000
+_RETRY_MS = 300
+_GAP_POLL_MS = 500
+
+Reason = outcomes.Reason
+
+
+class SessionLike(Protocol):
+    """What a feed needs of its session."""
+
+    async def token(self) -> bytes:
+        """Return a valid session token."""
+
+    def lost(self, token: bytes) -> None:
+        """Open a new session before the next use."""
+
+
+class Feed:
+    """Iterates over the events of a feed, in order and each once."""
+
+    def __init__(
+        self,
+        client: client_lib.Client,
+        session: SessionLike,
+        kind: str,
+        *,
+        last_seq: int = 0,
+    ) -> None:
+        self.kind = kind
+        self.feed_id = 0
+        self.breaks = 0
+        self._client = client
+        self._session = session
+        self._order = order_lib.Order(last_seq)
+        self._token = b""
+        self._items: asyncio.Queue[outcomes.FeedItem] = asyncio.Queue()
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def last_seq(self) -> int:
+        """Sequence number of the last event that was passed on."""
+        return self._order.last_seq
+
+    async def start(self) -> None:
+        """Open the feed and keep it alive."""
+        await self._subscribe()
+        self._task = asyncio.get_running_loop().create_task(
+            self._keep(), name=f"feed {self.kind}"
+        )
+
+    async def __aiter__(self) -> AsyncIterator[outcomes.FeedItem]:
+        while True:
+            yield await self._items.get()
+
+    async def next(self) -> outcomes.FeedItem:
+        """Return the next item."""
+        return await self._items.get()
+
+    async def close(self) -> None:
+        """End the feed."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        self._client.endpoint.unlisten(self.feed_id)
+        if self._token:
+            self._client.endpoint.notify("close", caller.Close(self._token))
+
+    async def _subscribe(self) -> None:
+        nonce = self._client.nonce()
+        while True:
+            token = await self._session.token()
+            params = caller.Subscribe(
+                token, self.kind, nonce, self._order.last_seq
+            )
+            try:
+                grant = await self._client.ask(
+                    "subscribe",
+                    params,
+                    caller.FeedGrant,
+                    timeout_ms=_SUBSCRIBE_TIMEOUT_MS,
+                )
+                break
+            except client_lib.RefusedError as exc:
+                reason = exc.refusal.reason
+                if reason in (Reason.LEAVING, Reason.OWNER_LOST):
+                    self._session.lost(token)
+                elif not exc.refusal.retry_after_ms:
+                    raise
+                await asyncio.sleep(max(exc.refusal.retry_after_ms, 50) / 1000)
+        self._token = grant.token
+        self.feed_id = grant.feed_id
+        self._client.endpoint.listen(grant.feed_id, self._event)
+
+    def _event(self, event: caller.Event) -> None:
+        now_ms = self._client.clock.now_ms()
+        for item in self._order.event(now_ms, event.seq, event.payload):
+            self._items.put_nowait(item)
+
+    async def _keep(self) -> None:
+        since_ms = self._client.clock.now_ms()
+        while True:
+            for item in self._order.poll(self._client.clock.now_ms()):
+                self._items.put_nowait(item)
+            now_ms = self._client.clock.now_ms()
+            wait_ms = max(0, since_ms + KEEPALIVE_MS - now_ms)
+            if self._order.gap:
+                wait_ms = min(wait_ms, _GAP_POLL_MS)
+            await asyncio.sleep(wait_ms / 1000)
+            since_ms = self._client.clock.now_ms()
+            reason = await self._keepalive()
+            if reason is not None:
+                await self._reopen(reason)
+
+    async def _keepalive(self) -> Reason | None:
+        """Send a keepalive and return why the flow ended, if it did."""
+        deadline_ms = self._client.clock.now_ms() + _KEEPALIVE_TIMEOUT_MS
+        reason = Reason.NONE
+        while self._client.clock.now_ms() < deadline_ms:
+            params = caller.Keepalive(self._token, self._order.last_seq)
+            try:
+                grant = await self._client.ask(
+                    "keepalive",
+                    params,
+                    caller.FeedGrant,
+                    timeout_ms=KEEPALIVE_MS,
+                )
+            except client_lib.RefusedError as exc:
+                reason = exc.refusal.reason
+                if not exc.refusal.retry_after_ms:
+                    return reason
+                await asyncio.sleep(exc.refusal.retry_after_ms / 1000)
+            except errors.CallerError:
+                continue
+            else:
+                self._token = grant.token
+                return None
+        return reason
+
+    async def _reopen(self, reason: Reason) -> None:
+        self.breaks += 1
+        self._client.endpoint.unlisten(self.feed_id)
+        self._items.put_nowait(outcomes.FeedBroken(reason))
+        self._order = order_lib.Order()
+        while True:
+            try:
+                await self._subscribe()
+                return
+            except errors.CallerError as exc:
+                logging.debug("subscribe again: %s", exc)
+                await asyncio.sleep(_RETRY_MS / 1000)
--- /dev/null
+++ b/src/cyclamenridge/caller/outcomes.py
@@ -0,0 +1,64 @@
+"""What a caller learns about a request or a feed."""
+
+import dataclasses
+
+from cyclamenridge.wire import caller
+
+Reason = caller.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The request ran; ``payload`` is the whole answer."""
+
+    payload: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """The request ran and failed."""
+
+    payload: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """It is proved that the request did not run.
+
+    :param retry_after_ms: 0 when a retry would not help
+    """
+
+    reason: Reason
+    retry_after_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may or may not have run."""
+
+    reason: Reason = Reason.NONE
+
+
+Outcome = Answered | Failed | NotRun | Unknown
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FeedEvent:
+    """An event of a feed.
+
+    :param missed: number of events before it that were lost
+    """
+
+    seq: int
+    payload: bytes
+    missed: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FeedBroken:
+    """The flow ended at its server; a new one is opened."""
+
+    reason: Reason
+
+
+FeedItem = FeedEvent | FeedBroken
--- /dev/null
+++ b/src/cyclamenridge/ports/datagrams.py
@@ -0,0 +1,24 @@
+"""Port for datagrams."""
+
+import abc
+from collections.abc import Callable
+
+from cyclamenridge import address as address_lib
+
+Receiver = Callable[[address_lib.Address, bytes], None]
+
+
+class Datagrams(abc.ABC):
+    """A bound datagram endpoint."""
+
+    @abc.abstractmethod
+    def open(self, receiver: Receiver) -> None:
+        """Start to pass each datagram that arrives to ``receiver``."""
+
+    @abc.abstractmethod
+    def send(self, dest: address_lib.Address, data: bytes) -> None:
+        """Send a datagram, or count it as dropped."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Stop receiving and release the endpoint."""
--- /dev/null
+++ b/tests/adapters/test_backend_link.py
@@ -0,0 +1,154 @@
+import asyncio
+import collections
+import contextlib
+import random
+
+from cyclamenridge.adapters import backend_link
+import cyclamenridge.address as address_lib
+import cyclamenridge.clock as clock_lib
+from cyclamenridge.node import effects
+from cyclamenridge.node import events
+from cyclamenridge.wire import backend
+from cyclamenridge.wire import framing
+from cyclamenridge.wire import rpc
+from tests.standins import server as server_lib
+from tests.standins import server_model
+from tests.standins import waiting
+
+REF = events.ServerRef("album", "album-1")
+
+
+class Fixture:
+    def __init__(self):
+        self.counters = collections.Counter()
+        self.events = asyncio.Queue()
+        self.links = backend_link.TcpLinks("b1", counters=self.counters)
+        self.links.set_receiver(self.events.put_nowait)
+
+    async def next(self):
+        return await asyncio.wait_for(self.events.get(), 4)
+
+    def open(self, address, link_id=1):
+        self.links.open(effects.OpenLink(REF, link_id, address))
+
+
+@contextlib.asynccontextmanager
+async def backend_server(server="album-1"):
+    model = server_model.ServerModel(
+        "album",
+        server,
+        profile=server_model.Profile(default_ms=1),
+        rng=random.Random(1),
+    )
+    process = server_lib.Server(model, clock_lib.MonotonicClock())
+    await process.start(address_lib.Address("127.0.0.1", 0))
+    sockname = process._server.sockets[0].getsockname()
+    try:
+        yield process, address_lib.Address(*sockname)
+    finally:
+        await process.stop()
+
+
+@contextlib.asynccontextmanager
+async def raw_server(reply):
+    """Answer whatever arrives first with ``reply``."""
+
+    async def serve(reader, writer):
+        await reader.read(1000)
+        writer.write(reply)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield address_lib.Address(*server.sockets[0].getsockname())
+    finally:
+        server.close()
+
+
+def test_link_runs_a_request_and_reports_its_end():
+    async def run():
+        fixture = Fixture()
+        async with backend_server() as (_, address):
+            fixture.open(address)
+            up = await fixture.next()
+            assert up.identity.slots == 2
+            params = backend.Run(1, 1, "edit", "c", 1000, b"p")
+            data = rpc.request(5, "run", params)
+            fixture.links.send(effects.SendLink(REF, 1, data))
+            message = (await fixture.next()).message
+            assert (message.msgid, message.error) == (5, None)
+        down = await fixture.next()
+        assert isinstance(down, events.LinkDown)
+        await fixture.links.stop()
+
+    asyncio.run(run())
+
+
+def test_other_server_at_the_address_gets_no_payload():
+    """A reused address must end the link before anything is sent (P2)."""
+
+    async def run():
+        fixture = Fixture()
+        async with backend_server("album-2") as (process, address):
+            fixture.open(address)
+            down = await fixture.next()
+            assert "identity mismatch" in down.reason
+            data = rpc.request(5, "load", backend.Empty())
+            fixture.links.send(effects.SendLink(REF, 1, data))
+            assert process.model.records == []
+        assert fixture.counters == {
+            "identity_mismatch": 1,
+            "link_messages_without_link": 1,
+        }
+        await fixture.links.stop()
+
+    asyncio.run(run())
+
+
+def test_closed_link_reports_nothing():
+    async def run():
+        fixture = Fixture()
+        async with backend_server() as (process, address):
+            fixture.open(address)
+            await fixture.next()
+            fixture.links.close(effects.CloseLink(REF, 1))
+            await waiting.until(lambda: not process.model.connections)
+        assert fixture.events.empty()
+        await fixture.links.stop()
+
+    asyncio.run(run())
+
+
+def test_bad_answers_end_the_link():
+    """What a foreign process answers must not stop the balancer."""
+
+    async def run():
+        for reply in (
+            b"\xff\xff\xff\xff",
+            framing.encode(b"\xc1"),
+            framing.encode(rpc.error_response(0, "no")),
+            framing.encode(rpc.response(0, backend.Empty())),
+            b"HTTP/1.1 400 Bad Request\r\n\r\n",
+        ):
+            fixture = Fixture()
+            async with raw_server(reply) as address:
+                fixture.open(address)
+                assert isinstance(await fixture.next(), events.LinkDown)
+            await fixture.links.stop()
+
+    asyncio.run(run())
+
+
+def test_unreachable_server_is_reported():
+    async def run():
+        fixture = Fixture()
+        server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        address = address_lib.Address(*server.sockets[0].getsockname())
+        server.close()
+        await server.wait_closed()
+        fixture.open(address)
+        assert isinstance(await fixture.next(), events.LinkDown)
+        await fixture.links.stop()
+
+    asyncio.run(run())
