--- a/src/cyclamenridge/adapters/udp.py
+++ b/src/cyclamenridge/adapters/udp.py
@@ -10,9 +10,6 @@
 
 # Bounds the time during which one socket keeps the loop from others.
 _BATCH = 64
-# Larger than any valid datagram, so that oversized ones are recognized
-# instead of being cut to a valid length.
-_READ_BYTES = 2048
 _QUEUE_DATAGRAMS = 4096
 _SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 
@@ -34,6 +31,9 @@
     ) -> None:
         self._name = name
         self._max_bytes = max_bytes
+        # One byte more, so that an oversized datagram is recognized
+        # instead of being cut to a valid length.
+        self._read_bytes = max_bytes + 1
         self._counters = counters
         self._receiver: datagrams.Receiver | None = None
         self._queue: collections.deque[tuple[address_lib.Address, bytes]] = (
@@ -71,20 +71,22 @@
             self._count("send_failed")
 
     def close(self) -> None:
-        """Stop receiving and release the socket."""
+        """Send what can be sent at once and release the socket."""
         if self._receiver is not None:
-            loop = asyncio.get_running_loop()
-            loop.remove_reader(self._sock)
-            loop.remove_writer(self._sock)
+            self._receiver = None
+            asyncio.get_running_loop().remove_reader(self._sock)
+        if self._queue:
+            self._writable()
+            asyncio.get_running_loop().remove_writer(self._sock)
         self._sock.close()
 
     def _readable(self) -> None:
-        assert self._receiver is not None
         recvfrom = self._sock.recvfrom
-        receive = self._receiver
         for _ in range(_BATCH):
+            if self._receiver is None:
+                return
             try:
-                data, source = recvfrom(_READ_BYTES)
+                data, source = recvfrom(self._read_bytes)
             except BlockingIOError:
                 return
             except OSError:
@@ -94,7 +96,7 @@
             if len(data) > self._max_bytes:
                 self._count("oversized")
                 continue
-            receive(_address(*source), data)
+            self._receiver(_address(*source), data)
 
     def _writable(self) -> None:
         while self._queue:
--- a/src/cyclamenridge/run.py
+++ b/src/cyclamenridge/run.py
@@ -4,6 +4,8 @@
 
 import typer
 
+from cyclamenridge.cli import call
+
 app = typer.Typer(
     name="cyclamenridge",
     help="Layer-4 load balancer.",
@@ -22,6 +24,9 @@
     typer.echo(metadata.version("cyclamenridge"))
 
 
+app.command()(call.call)
+
+
 def main() -> None:
     """Run the command line."""
     app()
