--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,365 @@
+"""In-memory fleet of control planes with a network and a store."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import heapq
+import itertools
+import random
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.config import document as document_lib
+from cyclamenridge.control import plane as plane_lib
+from cyclamenridge.control import transfer
+from cyclamenridge.control import types
+from cyclamenridge.node import effects
+from cyclamenridge.node import events
+from cyclamenridge.routing import homes
+
+Address = address_lib.Address
+Document = document_lib.Document
+
+KEYS = (b"k" * 32,)
+TICK_MS = 50
+DOMAINS = ("oslo-a", "oslo-b", "oslo-c")
+
+
+def document(revision: int, body: str | None = None) -> Document:
+    """Return an intact document."""
+    if body is None:
+        body = f"revision: {revision}\n"
+    return Document(
+        revision=revision,
+        digest=transfer.body_digest(body),
+        apply_id=f"apply-{revision}",
+        history=(),
+        body=body,
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """A process of the fleet.
+
+    :param adopted: (time, revision) of each document put in force
+    :param bytes_sent: control bytes with IP and UDP headers, per 100 ms
+    """
+
+    balancer: homes.Balancer
+    plane: plane_lib.ControlPlane
+    running: bool = True
+    paused: bool = False
+    backlog: list[Callable[[], None]] = dataclasses.field(default_factory=list)
+    adopted: list[tuple[int, int]] = dataclasses.field(default_factory=list)
+    demands: list[types.DemandReceived] = dataclasses.field(
+        default_factory=list
+    )
+    bytes_sent: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    watching: bool = False
+
+    @property
+    def name(self) -> str:
+        """Return the name of the instance."""
+        return self.balancer.name
+
+
+class Store:
+    """The platform's store with its outages.
+
+    :param calls: (time, kind) of each call; a watch counts when it starts
+    """
+
+    def __init__(self) -> None:
+        self.document: Document | None = None
+        self.mod_revision = 0
+        self.up = True
+        self.delay_ms = 3
+        self.watch_lag_ms = 3
+        self.calls: list[tuple[int, str]] = []
+
+
+class Fleet:
+    """Nodes, network and store on one simulated clock."""
+
+    def __init__(
+        self, seed: int, *, domains: tuple[str, ...] = DOMAINS
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.now_ms = 0
+        self.domains = domains
+        self.nodes: dict[str, Node] = {}
+        self.by_address: dict[Address, Node] = {}
+        self.store = Store()
+        self.listed: dict[str, events.ListedInstance] = {}
+        self.seeds: tuple[Address, ...] = ()
+        self.loss = 0.0
+        self.delay_ms = (1, 3)
+        # True for a datagram or store call that does not get through.
+        self.cut: Callable[[Node, Node], bool] = lambda src, dst: False
+        self.store_cut: Callable[[Node], bool] = lambda node: False
+        self.sent: list[tuple[int, Node, Address, bytes]] | None = None
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+
+    def at(self, time_ms: int, action: Callable[[], None]) -> None:
+        """Run an action at a simulated time."""
+        heapq.heappush(self._queue, (time_ms, next(self._order), action))
+
+    def run(self, duration_ms: int) -> None:
+        """Let simulated time pass."""
+        end_ms = self.now_ms + duration_ms
+        while self._queue and self._queue[0][0] <= end_ms:
+            self.now_ms, _, action = heapq.heappop(self._queue)
+            action()
+        self.now_ms = end_ms
+
+    def until(self, condition: Callable[[], bool], limit_ms: int) -> int:
+        """Run until a condition holds; return the time it took."""
+        start_ms = self.now_ms
+        while not condition():
+            if self.now_ms - start_ms >= limit_ms:
+                raise AssertionError(f"not reached within {limit_ms} ms")
+            self.run(TICK_MS)
+        return self.now_ms - start_ms
+
+    def address(self, index: int) -> Address:
+        """Return the peer address of the node with a number."""
+        return Address(
+            f"10.{index // 65536}.{index // 256 % 256}.{index % 256}", 7001
+        )
+
+    def add(
+        self,
+        name: str,
+        index: int,
+        *,
+        incarnation: int = 1,
+        domain: str | None = None,
+        listed: bool = True,
+        start_ms: int | None = None,
+    ) -> Node:
+        """Start a process; one with the same name is replaced."""
+        balancer = homes.Balancer(
+            name=name,
+            failure_domain=domain or self.domains[index % len(self.domains)],
+            peer_address=self.address(index),
+            incarnation=incarnation,
+        )
+        plane = plane_lib.ControlPlane(
+            balancer,
+            keys=KEYS,
+            seeds=self.seeds,
+            rng=random.Random(self.rng.getrandbits(64)),
+        )
+        node = Node(balancer, plane)
+        self.nodes[name] = node
+        self.by_address[balancer.peer_address] = node
+        if listed:
+            self.listed[name] = events.ListedInstance(
+                name,
+                plane_lib.BALANCER_ROLE,
+                balancer.peer_address,
+                balancer.failure_domain,
+            )
+        begin_ms = self.now_ms if start_ms is None else start_ms
+        begin_ms += self.rng.randrange(TICK_MS)
+        self.at(begin_ms, lambda: self._start(node))
+        return node
+
+    def grow(self, count: int) -> list[Node]:
+        """Start ``count`` nodes at once; the first three are seeds."""
+        self.seeds = tuple(self.address(index) for index in range(1, 4))
+        return [
+            self.add(f"bal-{index:03}", index) for index in range(1, count + 1)
+        ]
+
+    def kill(self, node: Node) -> None:
+        """End a process without notice."""
+        node.running = False
+        if self.by_address.get(node.balancer.peer_address) is node:
+            del self.by_address[node.balancer.peer_address]
+        if self.nodes.get(node.name) is node:
+            del self.nodes[node.name]
+
+    def pause(self, node: Node, duration_ms: int) -> None:
+        """Stop a process and let it go on later, with what arrived."""
+        node.paused = True
+        self.at(self.now_ms + duration_ms, lambda: self._wake(node))
+
+    def apply(self, doc: Document) -> None:
+        """Write a document to the store as an operator does."""
+        self.store.document = doc
+        self.store.mod_revision += 1
+        self._notify()
+
+    def push_list(self) -> None:
+        """Give the current instance list to the nodes that watch."""
+        for node in list(self.nodes.values()):
+            if node.watching and not self._unreachable(node):
+                self._give_list(node)
+
+    def live(self) -> Iterable[Node]:
+        """Return the nodes that run and are not paused."""
+        return [node for node in self.nodes.values() if not node.paused]
+
+    def state(self, viewer: Node, name: str) -> types.MemberState | None:
+        """Return how a node sees another one."""
+        for member in viewer.plane.members():
+            if member.balancer.name == name:
+                return member.state
+        return None
+
+    def all_alive(self) -> bool:
+        """Return whether every node sees exactly the others alive."""
+        names = set(self.nodes)
+        for node in self.live():
+            seen = {
+                member.balancer.name
+                for member in node.plane.members()
+                if member.state is types.MemberState.ALIVE
+            }
+            if seen != names:
+                return False
+        return True
+
+    def all_hold(self, revision: int) -> bool:
+        """Return whether every node has a revision in force."""
+        return all(
+            node.plane.document is not None
+            and node.plane.document.revision == revision
+            for node in self.live()
+        )
+
+    def _start(self, node: Node) -> None:
+        self._carry_out(node, node.plane.start(self.now_ms))
+        self._tick(node)
+
+    def _tick(self, node: Node) -> None:
+        if not node.running:
+            return
+        if not node.paused:
+            self._carry_out(node, node.plane.tick(self.now_ms))
+        self.at(self.now_ms + TICK_MS, lambda: self._tick(node))
+
+    def _wake(self, node: Node) -> None:
+        node.paused = False
+        backlog, node.backlog = node.backlog, []
+        for action in backlog:
+            action()
+
+    def _deliver(self, node: Node, call: Callable[[], types.Output]) -> None:
+        if not node.running:
+            return
+        if node.paused:
+            # The socket buffer keeps what arrives during a pause.
+            if len(node.backlog) < 500:
+                node.backlog.append(lambda: self._deliver(node, call))
+            return
+        self._carry_out(node, call())
+
+    def _carry_out(self, node: Node, out: types.Output) -> None:
+        if out.adopted is not None:
+            node.adopted.append((self.now_ms, out.adopted.revision))
+        node.demands.extend(out.demands)
+        for effect in out.effects:
+            match effect:
+                case effects.SendPeer():
+                    self._send(node, effect.dest, effect.data)
+                case effects.ReadStore():
+                    self._store_call(node, "read", self._answer_read)
+                case effects.WatchStore(active=True):
+                    self._store_call(node, "watch", self._begin_watch)
+                case effects.WatchStore():
+                    node.watching = False
+                case effects.WriteStore():
+                    self._store_call(
+                        node,
+                        "write",
+                        lambda node, write=effect: self._write(node, write),
+                    )
+
+    def _send(self, node: Node, dest: Address, data: bytes) -> None:
+        node.bytes_sent[self.now_ms // 100] += len(data) + 28
+        if self.sent is not None:
+            self.sent.append((self.now_ms, node, dest, data))
+        if self.rng.random() < self.loss:
+            return
+        self.at(
+            self.now_ms + self.rng.randint(*self.delay_ms),
+            lambda: self.inject(node, dest, data),
+        )
+
+    def inject(self, node: Node, dest: Address, data: bytes) -> None:
+        """Deliver a datagram now unless a cut is in the way."""
+        peer = self.by_address.get(dest)
+        if peer is None or self.cut(node, peer):
+            return
+        source = node.balancer.peer_address
+        self._deliver(
+            peer, lambda: peer.plane.datagram(self.now_ms, source, data)
+        )
+
+    def _unreachable(self, node: Node) -> bool:
+        return not self.store.up or self.store_cut(node)
+
+    def _store_call(
+        self, node: Node, kind: str, answer: Callable[[Node], None]
+    ) -> None:
+        self.store.calls.append((self.now_ms, kind))
+        delay_ms = self.store.delay_ms
+        if self._unreachable(node):
+            self.at(self.now_ms + 50, lambda: self._fail(node))
+        else:
+            self.at(self.now_ms + delay_ms, lambda: answer(node))
+
+    def _fail(self, node: Node) -> None:
+        node.watching = False
+        self._deliver(
+            node,
+            lambda: node.plane.store_failed(
+                self.now_ms, events.StoreFailed("unavailable")
+            ),
+        )
+
+    def _answer_read(self, node: Node) -> None:
+        self._give_document(node, self.store.document, self.store.mod_revision)
+
+    def _give_document(
+        self, node: Node, doc: Document | None, mod_revision: int
+    ) -> None:
+        read = events.StoreRead(doc, mod_revision)
+        self._deliver(node, lambda: node.plane.store_read(self.now_ms, read))
+
+    def _begin_watch(self, node: Node) -> None:
+        node.watching = True
+        self._give_document(node, self.store.document, self.store.mod_revision)
+        self._give_list(node)
+
+    def _give_list(self, node: Node) -> None:
+        listed = tuple(self.listed.values())
+        self._deliver(node, lambda: node.plane.instances(self.now_ms, listed))
+
+    def _write(self, node: Node, write: effects.WriteStore) -> None:
+        if write.mod_revision == self.store.mod_revision:
+            self.apply(write.document)
+        self._answer_read(node)
+
+    def _notify(self) -> None:
+        doc, mod_revision = self.store.document, self.store.mod_revision
+        for node in list(self.nodes.values()):
+            if node.watching and not self._unreachable(node):
+                self.at(
+                    self.now_ms + self.store.watch_lag_ms,
+                    lambda node=node: self._give_document(
+                        node, doc, mod_revision
+                    ),
+                )
+
+    def break_watches(self) -> None:
+        """End all watches, as an outage of the store does."""
+        for node in list(self.nodes.values()):
+            if node.watching:
+                self._fail(node)
--- /dev/null
+++ b/src/cyclamenridge/control/codec.py
@@ -0,0 +1,290 @@
+"""Encoding and authentication of messages between balancers."""
+
+import functools
+import hashlib
+import hmac
+import importlib.resources
+import ipaddress
+import math
+from typing import Any
+
+import capnp
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.control import messages
+from cyclamenridge.control import types
+import cyclamenridge.errors as errors
+from cyclamenridge.routing import homes
+from cyclamenridge.scheduling import types as scheduling
+
+TYPE_BYTE = 1
+MAC_BYTES = 16
+_HEADER_BYTES = 1 + MAC_BYTES
+_MAX_NAME_BYTES = 64
+# A packed message can unfold to far more than it occupies on the wire; an
+# honest one stays under this many words.
+_TRAVERSAL_LIMIT_WORDS = 4096
+_NESTING_LIMIT = 8
+_STATES = {state.value: state for state in types.MemberState}
+
+
+@functools.cache
+def _schema() -> Any:
+    resource = importlib.resources.files(__package__) / "control.capnp"
+    with importlib.resources.as_file(resource) as path:
+        return capnp.load(str(path))
+
+
+class Codec:
+    """Signs messages with the first key and verifies them with any."""
+
+    def __init__(self, keys: tuple[bytes, ...]) -> None:
+        if not keys:
+            raise errors.ControlError("no key for control messages")
+        self._keys = keys
+
+    def encode(self, message: messages.Message) -> bytes:
+        """Return the datagram of a message."""
+        root = _schema().Message.new_message()
+        root.sender = message.sender
+        root.incarnation = message.incarnation
+        root.counter = message.counter
+        root.leaving = message.leaving
+        root.sequence = message.sequence
+        root.revision = message.revision
+        root.digest = message.digest
+        if message.updates:
+            _put_updates(root.init("updates", len(message.updates)), message)
+        _put_body(root.body, message.body)
+        packed = root.to_bytes_packed()
+        return bytes((TYPE_BYTE,)) + _mac(self._keys[0], packed) + packed
+
+    def decode(self, data: bytes) -> messages.Message:
+        """Verify and decode a datagram.
+
+        :raises ControlError: for every datagram that cannot be used
+        """
+        if len(data) > messages.MAX_DATAGRAM_BYTES:
+            raise errors.ControlError(f"message has {len(data)} bytes")
+        if len(data) <= _HEADER_BYTES or data[0] != TYPE_BYTE:
+            raise errors.ControlError("not a control message")
+        mac, packed = data[1:_HEADER_BYTES], data[_HEADER_BYTES:]
+        if not any(
+            hmac.compare_digest(_mac(key, packed), mac) for key in self._keys
+        ):
+            raise errors.ControlError("message is not authentic")
+        try:
+            root = _schema().Message.from_bytes_packed(
+                packed,
+                traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS,
+                nesting_limit=_NESTING_LIMIT,
+            )
+            return _message(root)
+        except (capnp.KjException, ValueError) as exc:
+            raise errors.ControlError("message is malformed") from exc
+
+
+def _mac(key: bytes, packed: bytes) -> bytes:
+    return hashlib.blake2b(packed, key=key, digest_size=MAC_BYTES).digest()
+
+
+@functools.lru_cache(maxsize=2048)
+def _host_number(host: str) -> int:
+    return int(ipaddress.IPv4Address(host))
+
+
+@functools.lru_cache(maxsize=2048)
+def _host_text(number: int) -> str:
+    return str(ipaddress.IPv4Address(number))
+
+
+def _put_update(item: Any, update: messages.Update) -> None:
+    balancer = update.balancer
+    item.name = balancer.name
+    item.domain = balancer.failure_domain
+    item.host = _host_number(balancer.peer_address.host)
+    item.port = balancer.peer_address.port
+    item.incarnation = balancer.incarnation
+    item.counter = update.counter
+    item.state = int(update.state)
+
+
+def _put_updates(items: Any, message: messages.Message) -> None:
+    for index, update in enumerate(message.updates):
+        _put_update(items[index], update)
+
+
+def _put_body(out: Any, body: messages.Body) -> None:
+    match body:
+        case messages.Announce():
+            out.announce = None
+        case messages.Ping():
+            ping = out.init("ping")
+            ping.nonce = body.nonce
+            ping.introduce = body.introduce
+        case messages.Ack():
+            ack = out.init("ack")
+            ack.nonce = body.nonce
+            ack.target = body.target
+        case messages.PingReq():
+            req = out.init("pingReq")
+            req.nonce = body.nonce
+            req.target = body.target
+            req.host = _host_number(body.address.host)
+            req.port = body.address.port
+        case messages.PageRequest():
+            out.init("pageRequest").after = body.after
+        case messages.Page():
+            page = out.init("page")
+            items = page.init("members", len(body.members))
+            for index, update in enumerate(body.members):
+                _put_update(items[index], update)
+            page.next = body.next
+        case messages.Fetch():
+            fetch = out.init("fetch")
+            fetch.wanted = body.wanted
+            fetch.base = body.base
+            fetch.first = body.first
+            fetch.count = body.count
+        case messages.Chunk():
+            chunk = out.init("chunk")
+            chunk.wanted = body.wanted
+            chunk.base = body.base
+            chunk.transfer = body.transfer
+            chunk.index = body.index
+            chunk.total = body.total
+            chunk.data = body.data
+        case messages.Demands():
+            _put_demands(out, body)
+
+
+def _put_demands(out: Any, body: messages.Demands) -> None:
+    items = out.init("demands", len(body.demands))
+    for index, demand in enumerate(body.demands):
+        item = items[index]
+        item.service = demand.service
+        if demand.kinds:
+            kinds = item.init("kinds", len(demand.kinds))
+            for place, kind in enumerate(demand.kinds):
+                kinds[place].name = kind.kind
+                kinds[place].slots = kind.slots
+        if demand.draining:
+            draining = item.init("draining", len(demand.draining))
+            for place, server in enumerate(demand.draining):
+                draining[place] = server
+
+
+def _name(text: str) -> str:
+    if not text or len(text) > _MAX_NAME_BYTES:
+        raise ValueError("name is empty or too long")
+    return text
+
+
+def _address(host: int, port: int) -> address_lib.Address:
+    if not port:
+        raise ValueError("port is 0")
+    return address_lib.Address(_host_text(host), port)
+
+
+def _update(item: Any) -> messages.Update:
+    state = _STATES.get(item.state)
+    if state is None:
+        raise ValueError(f"state {item.state} is unknown")
+    return messages.Update(
+        balancer=homes.Balancer(
+            name=_name(item.name),
+            failure_domain=_name(item.domain),
+            peer_address=_address(item.host, item.port),
+            incarnation=item.incarnation,
+        ),
+        counter=item.counter,
+        state=state,
+    )
+
+
+def _message(root: Any) -> messages.Message:
+    return messages.Message(
+        sender=_name(root.sender),
+        incarnation=root.incarnation,
+        counter=root.counter,
+        leaving=root.leaving,
+        sequence=root.sequence,
+        revision=root.revision,
+        digest=root.digest,
+        body=_body(root.body),
+        updates=tuple(_update(item) for item in root.updates),
+    )
+
+
+def _body(body: Any) -> messages.Body:
+    match str(body.which()):
+        case "announce":
+            return messages.Announce()
+        case "ping":
+            return messages.Ping(body.ping.nonce, body.ping.introduce)
+        case "ack":
+            return messages.Ack(body.ack.nonce, body.ack.target)
+        case "pingReq":
+            req = body.pingReq
+            return messages.PingReq(
+                nonce=req.nonce,
+                target=_name(req.target),
+                address=_address(req.host, req.port),
+            )
+        case "pageRequest":
+            return messages.PageRequest(body.pageRequest.after)
+        case "page":
+            page = body.page
+            return messages.Page(
+                members=tuple(_update(item) for item in page.members),
+                next=page.next,
+            )
+        case "fetch":
+            return _fetch(body.fetch)
+        case "chunk":
+            return _chunk(body.chunk)
+        case "demands":
+            return messages.Demands(
+                tuple(_demand(item) for item in body.demands)
+            )
+        case other:
+            raise ValueError(f"message type {other} is unknown")
+
+
+def _fetch(fetch: Any) -> messages.Fetch:
+    if not fetch.wanted or fetch.base >= fetch.wanted:
+        raise ValueError("fetch of no newer revision")
+    return messages.Fetch(
+        wanted=fetch.wanted,
+        base=fetch.base,
+        first=fetch.first,
+        count=fetch.count,
+    )
+
+
+def _chunk(chunk: Any) -> messages.Chunk:
+    data = bytes(chunk.data)
+    if chunk.index >= chunk.total or len(data) > messages.MAX_CHUNK_BYTES:
+        raise ValueError("chunk is out of range")
+    return messages.Chunk(
+        wanted=chunk.wanted,
+        base=chunk.base,
+        transfer=chunk.transfer,
+        index=chunk.index,
+        total=chunk.total,
+        data=data,
+    )
+
+
+def _demand(item: Any) -> scheduling.ServiceDemand:
+    kinds = []
+    for kind in item.kinds:
+        slots = kind.slots
+        if not (math.isfinite(slots) and slots >= 0):
+            raise ValueError("demand is not a number of slots")
+        kinds.append(scheduling.KindDemand(_name(kind.name), slots))
+    return scheduling.ServiceDemand(
+        service=_name(item.service),
+        kinds=tuple(kinds),
+        draining=tuple(_name(server) for server in item.draining),
+    )
--- a/src/cyclamenridge/control/types.py
+++ b/src/cyclamenridge/control/types.py
@@ -4,7 +4,7 @@
 import enum
 
 from cyclamenridge.config import document as document_lib
-from cyclamenridge.node import effects
+from cyclamenridge.node import effects as effects_lib
 from cyclamenridge.routing import homes
 from cyclamenridge.scheduling import types as scheduling
 
@@ -44,7 +44,7 @@
     :param members_changed: the list of members or their states changed
     """
 
-    effects: tuple[effects.Effect, ...] = ()
+    effects: tuple[effects_lib.Effect, ...] = ()
     adopted: document_lib.Document | None = None
     demands: tuple[DemandReceived, ...] = ()
     members_changed: bool = False
