Add the balancer core with sessions and feeds

The scheduler, the control plane and the configuration need a core that ties them to callers and backend servers.

Tests run several cores with the real control plane on an in-memory network with the server model. events.StopRequested now says that its deadline is monotonic time.

--- /dev/null
+++ b/src/cyclamenridge/feed/owner.py
@@ -0,0 +1,506 @@
+"""Feeds whose caller this node serves, and their re-homing."""
+
+import collections
+
+import msgspec
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.config import model
+from cyclamenridge.feed import flow as flow_lib
+from cyclamenridge.node import context as context_lib
+from cyclamenridge.node import events
+from cyclamenridge.node import links as links_lib
+from cyclamenridge.node import services as services_lib
+from cyclamenridge.session import owner as session_owner
+from cyclamenridge.wire import backend
+from cyclamenridge.wire import caller
+from cyclamenridge.wire import rpc
+from cyclamenridge.wire import token as token_lib
+
+Address = address_lib.Address
+Feed = flow_lib.Feed
+Reason = caller.Reason
+ServerRef = events.ServerRef
+State = flow_lib.State
+
+FEED_IDLE_MS = 60_000
+# An owner asks the server this often whether the feed is still attached
+# here. It is less than the idle time, so that a balancer that took the
+# feed over by a late datagram passes events on until the owner has it.
+VERIFY_MS = 30_000
+# How long a caller waits for a server that cannot be reached.
+ATTACH_LIMIT_MS = 3000
+# An attach acknowledges events and makes the server send the later ones
+# again. It follows a keepalive at most this often.
+RESEND_EVENT_MS = 1000
+PROBE_INTERVAL_MS = 1000
+MAX_PROBES_PER_TICK = 200
+MAX_ATTACHES_PER_TICK = 1000
+MAX_FEEDS = 100_000
+# Late datagrams make the epoch grow by a few; more in one go means that
+# two balancers compete, and the caller's next keepalive decides.
+MAX_EPOCH_STEPS = 8
+_MAX_PLACEMENTS = 3
+_RETRY_MS = 500
+_OVERLOADED_RETRY_MS = 1000
+
+_ATTACHED = msgspec.msgpack.Decoder(backend.Attached)
+_EVENT = msgspec.msgpack.Decoder(backend.Event)
+
+
+class FeedOwner:
+    """Owns feeds: placement, attachment, events and re-homing."""
+
+    def __init__(
+        self,
+        ctx: context_lib.Context,
+        services: services_lib.Services,
+        links: links_lib.LinkTable,
+    ) -> None:
+        self._ctx = ctx
+        self._services = services
+        self._links = links
+        # Ordered by last use.
+        self._feeds: collections.OrderedDict[int, Feed] = (
+            collections.OrderedDict()
+        )
+        self._by_server: dict[ServerRef, set[int]] = {}
+        self._waiting: dict[int, Feed] = {}
+        self._attach_queue: collections.deque[int] = collections.deque()
+        self._probe_queue: collections.deque[int] = collections.deque()
+
+    @property
+    def feed_count(self) -> int:
+        """Number of feeds."""
+        return len(self._feeds)
+
+    def get(self, ident: int) -> Feed | None:
+        """Return a feed."""
+        return self._feeds.get(ident)
+
+    def unreachable(self, feed: Feed) -> bool:
+        """Tell whether the server of a feed cannot be reached from here."""
+        return self._links.identity(feed.ref) is None
+
+    def subscribe(
+        self,
+        now_ms: int,
+        source: Address,
+        msgid: int,
+        params: caller.Subscribe,
+        session: session_owner.Session,
+    ) -> None:
+        """Open a feed, or find the one that a resend asks for."""
+        known = self._feeds.get(session.feeds.get(params.nonce, -1))
+        if known is not None:
+            self._use(now_ms, known, source)
+            if known.state is State.ATTACHED:
+                self._grant(known, source, msgid)
+            else:
+                known.waiter = msgid
+            return
+        cfg = self._ctx.config
+        kind = cfg.kinds.get(params.kind) if cfg is not None else None
+        if self._ctx.leaving:
+            self._ctx.refuse(source, msgid, Reason.LEAVING)
+        elif (
+            kind is None
+            or kind.service != session.service
+            or kind.mode is not model.Mode.FEED
+        ):
+            self._ctx.refuse(source, msgid, Reason.BAD_REQUEST)
+        elif len(self._feeds) >= MAX_FEEDS:
+            self._ctx.refuse(
+                source, msgid, Reason.OVERLOADED, _OVERLOADED_RETRY_MS
+            )
+        else:
+            feed = Feed(
+                self._ctx.rng.getrandbits(64),
+                kind=params.kind,
+                customer=session.customer,
+                epoch=1,
+                create=True,
+                source=source,
+                last_seq=params.last_seq,
+                now_ms=now_ms,
+            )
+            feed.waiter = msgid
+            feed.confirmed = True
+            if self._place(now_ms, feed, session.service):
+                session.feeds[params.nonce] = feed.ident
+
+    def keepalive(
+        self,
+        now_ms: int,
+        source: Address,
+        msgid: int,
+        params: caller.Keepalive,
+        token: token_lib.Token,
+        *,
+        mine: bool,
+    ) -> None:
+        """Serve a feed, attaching it here when it is not.
+
+        :param mine: the token was granted by this process
+        """
+        feed = self._feeds.get(token.ident)
+        if feed is None or (not mine and token.epoch >= feed.epoch):
+            self._take_over(now_ms, source, msgid, params, token, feed)
+            return
+        self._use(now_ms, feed, source)
+        feed.caller_seq = max(feed.caller_seq, params.last_seq)
+        if feed.state is not State.ATTACHED:
+            feed.waiter = msgid
+            return
+        if self._needs_attach(now_ms, feed, mine):
+            feed.confirmed = feed.confirmed or mine
+            self._attach(now_ms, feed, feed.epoch)
+        self._grant(feed, source, msgid)
+
+    def close(self, now_ms: int, token: token_lib.Token) -> None:
+        """End a feed at the request of its caller."""
+        feed = self._feeds.get(token.ident)
+        if feed is not None:
+            self._detach(now_ms, feed.ref, feed.ident, feed.epoch)
+            self._remove(now_ms, feed)
+            return
+        service = self._ctx.service_names.get(token.service, "")
+        ref = self._services.server_by_hash(service, token.server)
+        if ref is not None:
+            self._detach(now_ms, ref, token.ident, token.epoch)
+
+    def event(self, now_ms: int, ref: ServerRef, params: msgspec.Raw) -> None:
+        """Pass an event of a server on to the caller."""
+        try:
+            event = _EVENT.decode(params)
+        except msgspec.DecodeError:
+            self._ctx.counters["link_messages_malformed"] += 1
+            return
+        feed = self._feeds.get(event.flow_id)
+        if feed is None or feed.ref != ref:
+            self._ctx.counters["events_without_feed"] += 1
+            return
+        if event.seq > feed.sent_seq:
+            feed.sent_seq = event.seq
+            feed.sent_ms = now_ms
+        data = rpc.notification(
+            "event", caller.Event(feed.ident, event.seq, event.payload)
+        )
+        if len(data) > caller.MAX_DATAGRAM_BYTES:
+            self._ctx.counters["events_too_large"] += 1
+            return
+        self._ctx.counters["events_sent"] += 1
+        self._ctx.send(feed.source, data)
+
+    def answered(
+        self,
+        now_ms: int,
+        ref: ServerRef,
+        pending: links_lib.Pending,
+        answer: rpc.Response,
+    ) -> None:
+        """Take the answer of a server to ``attach``."""
+        feed = self._feeds.get(pending.ident)  # type: ignore[call-overload]
+        if pending.method != "attach" or feed is None or feed.ref != ref:
+            return
+        if pending.attempt != feed.attach_number:
+            return
+        if answer.error is None:
+            try:
+                _ATTACHED.decode(answer.result)
+            except msgspec.DecodeError:
+                self._ctx.counters["link_messages_malformed"] += 1
+                return
+            self._attached(now_ms, feed)
+        elif answer.error == backend.AttachError.STALE_EPOCH:
+            self._stale(now_ms, feed)
+        elif answer.error == backend.AttachError.UNKNOWN_FLOW:
+            self._broken(now_ms, feed)
+        elif feed.create and not feed.counted:
+            self._place(now_ms, feed, feed.ref.service)
+        else:
+            self._fail(now_ms, feed, Reason.OVERLOADED)
+
+    def link_up(
+        self, now_ms: int, ref: ServerRef, identity: backend.Identity
+    ) -> None:
+        """Attach the feeds of a server on its new link."""
+        for ident in list(self._by_server.get(ref, ())):
+            feed = self._feeds[ident]
+            if feed.incarnation not in (None, identity.incarnation):
+                self._broken(now_ms, feed)
+            else:
+                self._attach_queue.append(ident)
+        self._drain_queue(now_ms)
+
+    def link_lost(self, now_ms: int, ref: ServerRef) -> None:
+        """Note that the feeds of a server get no events for now."""
+        for ident in list(self._by_server.get(ref, ())):
+            feed = self._feeds[ident]
+            if feed.create and not feed.counted:
+                self._place(now_ms, feed, ref.service)
+            else:
+                self._wait(now_ms, feed)
+
+    def tick(self, now_ms: int) -> None:
+        """Expire feeds and waits, and attach what is queued."""
+        self._drain_queue(now_ms)
+        for feed in list(self._waiting.values()):
+            if now_ms - feed.waiting_ms < ATTACH_LIMIT_MS:
+                continue
+            if self._links.identity(feed.ref) is None and self._services.gone(
+                feed.ref
+            ):
+                self._broken(now_ms, feed)
+            elif feed.waiter is not None:
+                self._fail(now_ms, feed, Reason.NO_SERVER)
+        while self._feeds:
+            feed = next(iter(self._feeds.values()))
+            if now_ms - feed.used_ms < FEED_IDLE_MS:
+                break
+            # Without a keepalive that names this node the caller may
+            # use a token of another one, so the flow is left alone.
+            if feed.confirmed:
+                self._detach(now_ms, feed.ref, feed.ident, feed.epoch)
+            self._ctx.counters["feeds_expired"] += 1
+            self._remove(now_ms, feed)
+
+    def probe(self, now_ms: int) -> None:
+        """Find out during a planned stop which feeds have moved.
+
+        An attach with the present epoch is refused as soon as another
+        balancer has attached the feed.
+        """
+        if not self._probe_queue:
+            self._probe_queue.extend(self._feeds)
+        for _ in range(min(MAX_PROBES_PER_TICK, len(self._probe_queue))):
+            feed = self._feeds.get(self._probe_queue[0])
+            if feed is not None:
+                if now_ms - feed.attach_ms < PROBE_INTERVAL_MS:
+                    return
+                if feed.state is State.ATTACHED:
+                    self._attach(now_ms, feed, feed.epoch)
+            self._probe_queue.popleft()
+
+    def _needs_attach(self, now_ms: int, feed: Feed, mine: bool) -> bool:
+        if feed.attaching:
+            return now_ms - feed.attach_ms > ATTACH_LIMIT_MS
+        if mine and not feed.confirmed:
+            return True
+        if now_ms - feed.attach_ms > VERIFY_MS:
+            return True
+        # The server keeps events until they are acknowledged, and sends
+        # those again that were lost on the way to the caller.
+        return (
+            max(feed.caller_seq, feed.sent_seq) > feed.acked_seq
+            and now_ms - feed.attach_ms >= RESEND_EVENT_MS
+        )
+
+    def _take_over(
+        self,
+        now_ms: int,
+        source: Address,
+        msgid: int,
+        params: caller.Keepalive,
+        token: token_lib.Token,
+        feed: Feed | None,
+    ) -> None:
+        """Attach a feed whose owner is gone, at the next epoch."""
+        if feed is None:
+            service = self._ctx.service_names.get(token.service, "")
+            runtime = self._services.acquire(now_ms, service)
+            ref = self._services.server_by_hash(service, token.server)
+            if runtime is None or ref is None:
+                # This node may not have the newest configuration yet.
+                self._ctx.refuse(source, msgid, Reason.NO_SERVER, _RETRY_MS)
+                return
+            if self._ctx.leaving or len(self._feeds) >= MAX_FEEDS:
+                self._ctx.refuse(source, msgid, Reason.LEAVING, _RETRY_MS)
+                return
+            feed = Feed(
+                token.ident,
+                kind="",
+                customer="",
+                epoch=token.epoch,
+                create=False,
+                source=source,
+                last_seq=params.last_seq,
+                now_ms=now_ms,
+            )
+            self._add(feed, ref, runtime)
+        self._ctx.counters["feeds_rehomed"] += 1
+        self._use(now_ms, feed, source)
+        feed.caller_seq = max(feed.caller_seq, params.last_seq)
+        feed.waiter = msgid
+        feed.confirmed = False
+        feed.steps = 0
+        self._attach(now_ms, feed, token.epoch + 1)
+
+    def _place(self, now_ms: int, feed: Feed, service: str) -> bool:
+        """Choose a server for a new feed and attach it there."""
+        runtime = self._services.acquire(now_ms, service)
+        if feed.ident in self._feeds:
+            # The server may have created the flow before its link broke.
+            feed.tried.add(feed.ref.server)
+            self._detach(now_ms, feed.ref, feed.ident, feed.epoch)
+            self._remove(now_ms, feed)
+        server = None
+        if runtime is not None and len(feed.tried) < _MAX_PLACEMENTS:
+            server = runtime.scheduler.place_feed(
+                now_ms, frozenset(feed.tried)
+            )
+        if runtime is None or server is None:
+            if feed.waiter is not None:
+                reason = Reason.OVERLOADED if feed.tried else Reason.NO_SERVER
+                self._ctx.refuse(
+                    feed.source, feed.waiter, reason, _OVERLOADED_RETRY_MS
+                )
+            return False
+        self._add(feed, ServerRef(service, server), runtime)
+        self._attach(now_ms, feed, feed.epoch)
+        return True
+
+    def _attach(self, now_ms: int, feed: Feed, epoch: int) -> None:
+        if epoch > flow_lib.MAX_EPOCH:
+            self._broken(now_ms, feed)
+            return
+        feed.epoch = epoch
+        feed.attach_ms = now_ms
+        feed.attach_number += 1
+        sent = self._links.request(
+            now_ms,
+            feed.ref,
+            "attach",
+            backend.Attach(
+                flow_id=feed.ident,
+                epoch=epoch,
+                kind=feed.kind,
+                customer=feed.customer,
+                last_seq=feed.caller_seq,
+                create=feed.create and not feed.counted,
+            ),
+            ident=feed.ident,
+            attempt=feed.attach_number,
+        )
+        feed.attaching = sent
+        feed.sending_seq = feed.caller_seq
+        if not sent or feed.state is not State.ATTACHED:
+            self._wait(now_ms, feed)
+
+    def _attached(self, now_ms: int, feed: Feed) -> None:
+        feed.attaching = False
+        feed.steps = 0
+        feed.acked_seq = max(feed.acked_seq, feed.sending_seq)
+        identity = self._links.identity(feed.ref)
+        if identity is not None:
+            feed.incarnation = identity.incarnation
+        self._waiting.pop(feed.ident, None)
+        feed.waiting_ms = 0
+        feed.state = State.ATTACHED
+        runtime = self._services.get(feed.ref.service)
+        if not feed.counted and runtime is not None:
+            feed.counted = True
+            runtime.scheduler.feed_attached(now_ms, feed.ref.server)
+            self._ctx.counters["feeds_attached"] += 1
+        if feed.waiter is not None:
+            self._grant(feed, feed.source, feed.waiter)
+
+    def _stale(self, now_ms: int, feed: Feed) -> None:
+        """Go on after another balancer attached the feed."""
+        feed.attaching = False
+        if self._ctx.leaving:
+            self._ctx.counters["feeds_moved"] += 1
+            self._remove(now_ms, feed)
+            return
+        feed.steps += 1
+        if feed.steps > MAX_EPOCH_STEPS:
+            self._fail(now_ms, feed, Reason.OWNER_LOST)
+        else:
+            feed.state = State.WAITING
+            self._attach(now_ms, feed, feed.epoch + 1)
+
+    def _broken(self, now_ms: int, feed: Feed) -> None:
+        """Give up a feed whose flow the server no longer has."""
+        self._ctx.counters["feeds_broken"] += 1
+        if feed.waiter is not None:
+            self._ctx.refuse(feed.source, feed.waiter, Reason.SERVER_LOST)
+        self._remove(now_ms, feed)
+
+    def _fail(self, now_ms: int, feed: Feed, reason: Reason) -> None:
+        """Tell a waiting caller to try again."""
+        if feed.waiter is not None:
+            self._ctx.refuse(feed.source, feed.waiter, reason, _RETRY_MS)
+            feed.waiter = None
+        if feed.state is not State.ATTACHED:
+            # The next keepalive starts again from the caller's token.
+            self._remove(now_ms, feed)
+
+    def _wait(self, now_ms: int, feed: Feed) -> None:
+        feed.state = State.WAITING
+        if not feed.waiting_ms:
+            feed.waiting_ms = now_ms
+        self._waiting[feed.ident] = feed
+
+    def _drain_queue(self, now_ms: int) -> None:
+        for _ in range(min(MAX_ATTACHES_PER_TICK, len(self._attach_queue))):
+            feed = self._feeds.get(self._attach_queue.popleft())
+            if feed is not None and feed.state is not State.ATTACHED:
+                self._attach(now_ms, feed, feed.epoch)
+
+    def _grant(self, feed: Feed, source: Address, msgid: int) -> None:
+        feed.waiter = None
+        if feed.token is None or feed.token_epoch != feed.epoch:
+            me = self._ctx.me
+            feed.token_epoch = feed.epoch
+            feed.token = self._ctx.tokens.encode(
+                token_lib.Token(
+                    type=token_lib.TokenType.FEED,
+                    service=token_lib.name_hash(feed.ref.service),
+                    owner=me.peer_address,
+                    incarnation=me.incarnation,
+                    ident=feed.ident,
+                    server=token_lib.name_hash(feed.ref.server),
+                    epoch=feed.epoch,
+                )
+            )
+        self._ctx.respond(
+            source, msgid, caller.FeedGrant(feed.token, feed.ident)
+        )
+
+    def _use(self, now_ms: int, feed: Feed, source: Address) -> None:
+        feed.used_ms = now_ms
+        feed.source = source
+        self._feeds.move_to_end(feed.ident)
+
+    def _add(
+        self, feed: Feed, ref: ServerRef, runtime: services_lib.Runtime
+    ) -> None:
+        feed.ref = ref
+        feed.state = State.WAITING
+        feed.waiting_ms = 0
+        self._feeds[feed.ident] = feed
+        self._by_server.setdefault(ref, set()).add(feed.ident)
+        runtime.users += 1
+        self._services.use_server(ref, 1)
+
+    def _remove(self, now_ms: int, feed: Feed) -> None:
+        del self._feeds[feed.ident]
+        self._waiting.pop(feed.ident, None)
+        idents = self._by_server[feed.ref]
+        idents.discard(feed.ident)
+        if not idents:
+            del self._by_server[feed.ref]
+        runtime = self._services.get(feed.ref.service)
+        if runtime is not None:
+            runtime.users -= 1
+            if feed.counted:
+                runtime.scheduler.feed_detached(now_ms, feed.ref.server)
+        feed.counted = False
+        self._services.use_server(feed.ref, -1)
+
+    def _detach(
+        self, now_ms: int, ref: ServerRef, ident: int, epoch: int
+    ) -> None:
+        self._links.request(
+            now_ms, ref, "detach", backend.Detach(ident, epoch), ident=ident
+        )
--- a/src/cyclamenridge/node/events.py
+++ b/src/cyclamenridge/node/events.py
@@ -111,7 +111,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopRequested:
-    """The operator asked for a planned stop."""
+    """The operator asked for a planned stop.
+
+    :param deadline_ms: monotonic time at which work is cancelled
+    """
 
     deadline_ms: int
 
--- /dev/null
+++ b/src/cyclamenridge/session/parts.py
@@ -0,0 +1,52 @@
+"""Requests and answers that do not fit one datagram."""
+
+from cyclamenridge.wire import caller
+
+
+class PartBuffer:
+    """Collects the parts of one request."""
+
+    __slots__ = ("_first_missing", "_parts", "size")
+
+    def __init__(self, count: int) -> None:
+        self._parts: list[bytes | None] = [None] * count
+        self._first_missing = 0
+        self.size = 0
+
+    def add(self, index: int, payload: bytes) -> bool:
+        """Keep a part; False when it had arrived before."""
+        if index >= len(self._parts) or self._parts[index] is not None:
+            return False
+        self._parts[index] = payload
+        self.size += len(payload)
+        while (
+            self._first_missing < len(self._parts)
+            and self._parts[self._first_missing] is not None
+        ):
+            self._first_missing += 1
+        return True
+
+    @property
+    def first_missing(self) -> int:
+        """Index of the first part that has not arrived."""
+        return self._first_missing
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether all parts have arrived."""
+        return self._first_missing == len(self._parts)
+
+    def join(self) -> bytes:
+        """Return the whole request."""
+        return b"".join(part for part in self._parts if part is not None)
+
+
+def count(payload: bytes) -> int:
+    """Return the number of parts in which an answer is sent."""
+    return max(1, -(-len(payload) // caller.MAX_PART_BYTES))
+
+
+def part(payload: bytes, index: int) -> bytes:
+    """Return one part of an answer."""
+    start = index * caller.MAX_PART_BYTES
+    return payload[start : start + caller.MAX_PART_BYTES]
--- /dev/null
+++ b/tests/node/callers.py
@@ -0,0 +1,274 @@
+"""Callers that resend to random nodes and remember all they are told."""
+
+import msgspec
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.wire import caller
+from cyclamenridge.wire import rpc
+from cyclamenridge.wire import token as token_lib
+from tests.node import fleet as fleet_lib
+
+Outcome = caller.Outcome
+Reason = caller.Reason
+RESEND_MS = 150
+GIVE_UP_MS = 12_000
+KEEPALIVE_MS = 1000
+CODEC = token_lib.TokenCodec(fleet_lib.KEYS)
+
+
+class Session:
+    def __init__(self, service):
+        self.service = service
+        self.token = None
+        self.ident = None
+        self.next_seq = 1
+        self.lost = False
+
+
+class Request:
+    def __init__(self, session, seq, kind, payload, msgid, now_ms):
+        self.session = session
+        self.seq = seq
+        self.kind = kind
+        self.payload = payload
+        self.msgid = msgid
+        self.check = caller.payload_check(payload)
+        size = caller.MAX_PART_BYTES
+        self.parts = [
+            payload[i : i + size] for i in range(0, max(1, len(payload)), size)
+        ]
+        self.from_part = 0
+        self.got = {}
+        self.outcome = None
+        self.reason = None
+        self.answer = None
+        self.attempt = 0
+        self.begun_ms = now_ms
+        self.deadline_ms = 4000
+
+    @property
+    def done(self):
+        return self.outcome is not None
+
+
+class Feed:
+    def __init__(self, session, kind, nonce):
+        self.session = session
+        self.kind = kind
+        self.nonce = nonce
+        self.token = None
+        self.ident = None
+        self.last_seq = 0
+        self.held = set()
+        self.lost = False
+        self.refused = None
+        self.asked_ms = 0
+        self.grants = 0
+
+
+class Caller:
+    def __init__(self, fleet, oracle, index):
+        self.fleet = fleet
+        self.oracle = oracle
+        self.address = address_lib.Address("10.0.0.1", 5000 + index)
+        self.waiting = {}
+        self.requests = []
+        self.feeds = []
+        self.sessions = []
+        self.nodes = None
+        self._msgid = index << 20
+        fleet.callers[str(self.address)] = self
+        fleet.at(RESEND_MS, self._tick)
+
+    # Sending
+
+    def send(self, data, node=None):
+        names = self.nodes or list(self.fleet.nodes)
+        name = node or self.fleet.rng.choice(names)
+        self.fleet.from_caller(self.address, data, name)
+
+    def ask(self, method, params, target, node=None, msgid=None):
+        msgid = msgid or self.new_msgid()
+        self.waiting[msgid] = (method, params, target, self.fleet.now_ms)
+        self.send(rpc.request(msgid, method, params), node)
+
+    def new_msgid(self):
+        self._msgid += 1
+        return self._msgid
+
+    def open(self, service):
+        session = Session(service)
+        self.sessions.append(session)
+        nonce = self.fleet.rng.getrandbits(50)
+        self.ask("open", caller.Open(service, "outfit", nonce), session)
+        return session
+
+    def call(self, session, kind, size=40, *, seq=None, node=None):
+        if seq is None:
+            seq = session.next_seq
+            session.next_seq += 1
+        fill = self.fleet.rng.randbytes(max(0, size - 30))
+        payload = f"{session.service}:{self._msgid}:{seq}:".encode() + fill
+        request = Request(
+            session, seq, kind, payload, self.new_msgid(), self.fleet.now_ms
+        )
+        self.requests.append(request)
+        self.resend(request, node)
+        return request
+
+    def resend(self, request, node=None):
+        request.attempt += 1
+        first = min(request.from_part, len(request.parts) - 1)
+        for part in range(first, min(len(request.parts), first + 8)):
+            self.send(self.encode(request, part), node)
+
+    def encode(self, request, part):
+        return rpc.request(
+            request.msgid,
+            "call",
+            caller.Call(
+                token=request.session.token,
+                seq=request.seq,
+                kind=request.kind,
+                attempt=min(1000, request.attempt),
+                deadline_ms=request.deadline_ms,
+                part=part,
+                parts=len(request.parts),
+                check=request.check,
+                payload=request.parts[part],
+            ),
+        )
+
+    def cancel(self, request, node=None):
+        params = caller.Cancel(request.session.token, request.seq)
+        self.send(rpc.request(request.msgid, "cancel", params), node)
+
+    def subscribe(self, session, kind):
+        feed = Feed(session, kind, self.fleet.rng.getrandbits(50))
+        self.feeds.append(feed)
+        params = caller.Subscribe(session.token, kind, feed.nonce, 0)
+        self.ask("subscribe", params, feed)
+        return feed
+
+    def keepalive(self, feed, node=None):
+        feed.asked_ms = self.fleet.now_ms
+        params = caller.Keepalive(feed.token, feed.last_seq)
+        self.ask("keepalive", params, feed, node)
+
+    def _tick(self):
+        self.fleet.at(RESEND_MS, self._tick)
+        now_ms = self.fleet.now_ms
+        for msgid, entry in list(self.waiting.items()):
+            method, params, target, asked_ms = entry
+            if method == "keepalive" and now_ms - asked_ms > 700:
+                del self.waiting[msgid]
+            elif now_ms - asked_ms > GIVE_UP_MS:
+                del self.waiting[msgid]
+                if method == "open":
+                    target.lost = True
+                else:
+                    target.refused = "no answer"
+            else:
+                self.send(rpc.request(msgid, method, params))
+        for request in self.requests:
+            if now_ms - request.begun_ms > GIVE_UP_MS:
+                request.outcome = request.outcome or "gave up"
+            elif not request.done:
+                self.resend(request)
+        self.requests = [r for r in self.requests if not r.done]
+        self.feeds = [f for f in self.feeds if not f.lost and not f.refused]
+        for feed in self.feeds:
+            if feed.token and now_ms - feed.asked_ms >= KEEPALIVE_MS:
+                self.keepalive(feed)
+
+    # Receiving
+
+    def receive(self, data):
+        message = rpc.decode(data)
+        if isinstance(message, rpc.Notification):
+            self._event(message)
+            return
+        entry = self.waiting.pop(message.msgid, None)
+        if entry is None:
+            self._reply(message)
+            return
+        method, _, target, _ = entry
+        if message.error is not None:
+            refusal = msgspec.convert(message.error, caller.Refusal)
+            self._refused(method, target, refusal)
+        elif method == "open":
+            grant = _decode(message, caller.Grant)
+            target.token = grant.token
+            target.ident = CODEC.decode(grant.token).ident
+            self.oracle.session(target.ident, target.service)
+        else:
+            grant = _decode(message, caller.FeedGrant)
+            target.token = grant.token
+            target.ident = grant.feed_id
+            target.grants += 1
+
+    def _refused(self, method, target, refusal):
+        if method == "open":
+            target.lost = True
+        elif method == "subscribe":
+            target.refused = refusal.reason
+        elif refusal.retry_after_ms == 0:
+            target.lost = True
+            alive = any(
+                server.model is not None and target.ident in server.model.flows
+                for server in self.fleet.servers.values()
+            )
+            self.oracle.feed_lost(target, alive)
+
+    def _reply(self, message):
+        if message.error is not None:
+            return
+        reply = _decode(message, caller.Reply)
+        for request in self.requests:
+            if request.msgid == message.msgid and not request.done:
+                break
+        else:
+            return
+        if reply.seq != request.seq or reply.check != request.check:
+            return
+        if reply.outcome is Outcome.PENDING:
+            request.from_part = reply.part
+            return
+        request.got[reply.part] = reply.payload
+        if reply.outcome is not Outcome.ANSWERED:
+            self._told(request, reply)
+            return
+        count = 0
+        while count in request.got:
+            count += 1
+        ack = caller.Ack(request.session.token, request.seq, count)
+        self.send(rpc.notification("ack", ack))
+        if count == reply.parts:
+            request.answer = b"".join(request.got[i] for i in range(count))
+            self._told(request, reply)
+            self.oracle.answer(request, request.answer)
+
+    def _told(self, request, reply):
+        request.outcome = reply.outcome
+        request.reason = reply.reason
+        if reply.reason in (Reason.OWNER_LOST, Reason.LEAVING):
+            request.session.lost = True
+        self.oracle.tell(
+            request.session.ident, request.seq, request.check, reply.outcome
+        )
+
+    def _event(self, message):
+        if message.method != "event":
+            return
+        event = msgspec.msgpack.decode(message.params, type=caller.Event)
+        for feed in self.feeds:
+            if feed.ident == event.feed_id:
+                self.oracle.event(feed, event)
+                feed.held.add(event.seq)
+                while feed.last_seq + 1 in feed.held:
+                    feed.last_seq += 1
+                    feed.held.discard(feed.last_seq)
+
+
+def _decode(message, cls):
+    return msgspec.msgpack.decode(message.result, type=cls)
