--- a/src/cyclamenridge/routing/rendezvous.py
+++ b/src/cyclamenridge/routing/rendezvous.py
@@ -2,13 +2,19 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+import functools
 
 import xxhash
 
 
+@functools.lru_cache(maxsize=65_536)
+def _seed(name: str) -> int:
+    return xxhash.xxh3_64_intdigest(name.encode())
+
+
 def weight(key: bytes, name: str) -> int:
     """Return the 64-bit weight of a candidate for a key."""
-    return xxhash.xxh3_64_intdigest(name.encode() + b"\0" + key)
+    return xxhash.xxh3_64_intdigest(key, _seed(name))
 
 
 def ranked(key: bytes, names: Iterable[str]) -> list[str]:
@@ -17,5 +23,15 @@
 
 
 def choose(key: bytes, names: Sequence[str]) -> str:
-    """Return the candidate with the highest weight."""
-    return min(names, key=lambda name: (-weight(key, name), name))
+    """Return the candidate with the highest weight.
+
+    Written as a loop, since this runs for each packet.
+    """
+    best, best_weight = names[0], -1
+    for name in names:
+        candidate = xxhash.xxh3_64_intdigest(key, _seed(name))
+        if candidate > best_weight:
+            best, best_weight = name, candidate
+        elif candidate == best_weight and name < best:
+            best = name
+    return best
--- /dev/null
+++ b/tests/routing/test_tokenless.py
@@ -0,0 +1,106 @@
+import struct
+
+import hypothesis
+from hypothesis import strategies
+
+from cyclamenridge.routing import pinned
+from cyclamenridge.routing import rendezvous
+from cyclamenridge.routing import tokenless
+
+SERVERS = ("s1", "s2", "s3", "s4")
+MEMBERS = ("b1", "b2", "b3")
+KEYS = [struct.pack(">I", number) for number in range(3_000)]
+
+
+def make_router(name):
+    router = tokenless.TokenlessRouter(name, flow_limit=10_000, idle_ms=1_000)
+    router.set_servers(0, SERVERS, SERVERS)
+    router.set_members(0, MEMBERS)
+    return router
+
+
+def exchange(router, peers):
+    """Deliver all filters of ``router`` to the members they are for."""
+    targets = []
+    while not targets:
+        targets = router.step(500)
+    for target in targets:
+        if target.member in peers:
+            peers[target.member].learn(router._me, target.filter)
+
+
+def test_successor_keeps_moved_flows_with_their_server():
+    """Guards against broken flows when a home dies after a drain."""
+    home, successor = make_router("b1"), make_router("b2")
+    served = {key: home.route(0, key) for key in KEYS}
+    for router in (home, successor):
+        router.set_servers(100, SERVERS[1:], SERVERS)
+    exchange(home, {"b2": successor})
+    successor.set_members(200, ("b2",))
+    told = [
+        key
+        for key in KEYS
+        if next(m for m in rendezvous.ranked(key, MEMBERS) if m != "b1")
+        == "b2"
+    ]
+    wrong = [k for k in told if successor.route(300, k) != served[k]]
+    assert len(told) > 1_000
+    assert wrong == []
+
+
+def test_change_that_the_lost_home_did_not_tell_is_not_applied_to_its_flows():
+    """Guards against broken flows when home and server go together."""
+    home, successor = make_router("b1"), make_router("b2")
+    served = {
+        key: home.route(0, key) for key in KEYS if home.home(key) == "b1"
+    }
+    successor.set_members(100, ("b2", "b3"))
+    successor.set_servers(200, SERVERS[1:], SERVERS)
+    for key, server in served.items():
+        assert successor.route(300, key, opening=False) == server
+
+
+def test_new_flow_never_goes_to_a_leaving_server():
+    """Guards against new work for a server that is draining."""
+    router = make_router("b1")
+    router.set_servers(100, SERVERS[1:], SERVERS)
+    assert all(router.route(200, key) != "s1" for key in KEYS)
+
+
+def test_memory_is_bounded_under_a_flood_of_keys():
+    """Guards against unbounded memory from spoofed sources."""
+    router = tokenless.TokenlessRouter("b1", flow_limit=100, idle_ms=1_000)
+    router.set_servers(0, SERVERS, SERVERS)
+    for key in KEYS:
+        router.route(0, key)
+    assert len(router) == 100
+    router.route(1_000, KEYS[0])
+    router.route(2_000, KEYS[0])
+    router.route(3_000, KEYS[0])
+    assert len(router) == 1
+
+
+@hypothesis.given(strategies.sets(strategies.binary(min_size=1), min_size=1))
+@hypothesis.settings(derandomize=True, deadline=None)
+def test_filters_contain_every_key_and_fit_one_datagram(keys):
+    """Guards against a moved flow that its filter does not name."""
+    filters = pinned.build("s1", sorted(keys))
+    known = pinned.PinnedSet("s1", filters[0].parts)
+    for item in filters:
+        assert len(item.data) <= 1_100
+        known.add(item)
+    assert all(key in known for key in keys)
+
+
+@hypothesis.given(
+    strategies.binary(), strategies.sets(strategies.text(), min_size=2)
+)
+@hypothesis.settings(derandomize=True, deadline=None)
+def test_choose_is_the_first_of_ranked(key, names):
+    """Guards against two balancers that rank a key differently."""
+    order = sorted(names)
+    first = rendezvous.choose(key, order)
+    assert first == rendezvous.ranked(key, order)[0]
+    assert first == rendezvous.choose(key, order[::-1])
+    rest = [name for name in order if name != first]
+    assert rendezvous.choose(key, rest) == rendezvous.ranked(key, order)[1]
