--- a/src/cyclamenridge/scheduling/retry.py
+++ b/src/cyclamenridge/scheduling/retry.py
@@ -4,6 +4,9 @@
 # server does not refuse its only request.
 MIN_TOKENS_PER_S = 1.0
 MAX_TOKENS = 20.0
+# Doubtful attempts at slots of others leave this much for requests that
+# found their own slot taken.
+FOREIGN_KEEP = 8.0
 
 
 class RetryBudget:
@@ -29,9 +32,13 @@
         """Add the part of a token that one request earns."""
         self._add(self.percent / 100)
 
+    def has(self, *, keep: float = 0.0) -> bool:
+        """Whether a token can be taken so that ``keep`` are left."""
+        return self.percent > 0 and self._tokens >= 1 + keep
+
     def take(self) -> bool:
         """Take a token; False when there is none."""
-        if self.percent <= 0 or self._tokens < 1:
+        if not self.has():
             return False
         self._tokens -= 1
         return True
--- a/src/cyclamenridge/scheduling/scheduler.py
+++ b/src/cyclamenridge/scheduling/scheduler.py
@@ -295,6 +295,8 @@
         excluded = running.excluded
         free = running.reserved_token
         if error is backend.RunError.BUSY:
+            if running.reserved_token:
+                self.counters["foreign_busy"] += 1
             state.busy(now_ms, hold_ms=self._busy_hold_ms(state))
         else:
             excluded |= {server}
@@ -380,28 +382,26 @@
             return None
         head = self._queue.kinds[kind].head()
         work_ms = self._usage.work_ms(kind)
+        residual_ms = self._usage.residual_ms()
         reserved_token = False
         candidates = self._candidates(now_ms, head.excluded)
         server = None
         if not self._options.own_slots_only:
-            server = self._picker.foreign(now_ms, candidates, work_ms)
+            server = self._picker.foreign(now_ms, candidates, residual_ms)
         else:
             if len(self._running) < max(1, sum(self._owned.values())):
                 server = self._picker.own(
-                    now_ms, candidates, self._owned, work_ms
+                    now_ms, candidates, self._owned, residual_ms
                 )
             if server is None and self._options.foreign_slots:
-                server = self._picker.foreign(now_ms, candidates, work_ms)
-                if server is not None:
-                    reserved_token = self._budget_at(now_ms).take()
-                    if not reserved_token:
-                        return None
-                    self.counters["foreign_tries"] += 1
+                server = self._foreign(now_ms, candidates, residual_ms)
+                reserved_token = server is not None
         if server is None:
             return None
         entry = self._queue.pop(kind)
         request = entry.request
         server.in_flight += 1
+        server.tried_ms = now_ms
         warmth = server.warmth(now_ms, self._service_cfg.slow_start_ms)
         if warmth < 1:
             server.next_start_ms = now_ms + round(work_ms * (1 / warmth - 1))
@@ -412,6 +412,23 @@
         self.counters["assigned"] += 1
         return types.Assignment(request, server.name)
 
+    def _foreign(
+        self,
+        now_ms: int,
+        candidates: list[servers.Server],
+        residual_ms: float,
+    ) -> servers.Server | None:
+        """Choose a slot of others and reserve a token for it."""
+        budget = self._budget_at(now_ms)
+        plenty = budget.has(keep=retry.FOREIGN_KEEP)
+        server = self._picker.foreign(
+            now_ms, candidates, residual_ms, fresh_only=not plenty
+        )
+        if server is None or not budget.take():
+            return None
+        self.counters["foreign_tries"] += 1
+        return server
+
     def _candidates(
         self, now_ms: int, excluded: frozenset[str]
     ) -> list[servers.Server]:
@@ -637,9 +654,9 @@
         return self._service_cfg.slow_start_ms if self._service_cfg else 0
 
     def _busy_hold_ms(self, server: servers.Server) -> int:
-        mean_ms = self._usage.mean_work_ms() / (2 * server.slots)
+        freed_ms = self._usage.residual_ms() / server.slots
         return round(
-            min(MAX_BUSY_HOLD_MS, max(MIN_BUSY_HOLD_MS, mean_ms))
+            min(MAX_BUSY_HOLD_MS, max(MIN_BUSY_HOLD_MS, freed_ms))
             * self._rng.uniform(0.5, 1.5)
         )
 
--- a/src/cyclamenridge/scheduling/servers.py
+++ b/src/cyclamenridge/scheduling/servers.py
@@ -44,12 +44,13 @@
         self.ejected_until_ms = 0
         self.warm_from_ms: int | None = None
         self.next_start_ms = 0
+        self.tried_ms = 0
         self.failure_ratio = 0.0
         self.results = 0
         self._ejections = 0
         self._others = 0.0
         self._others_mean = 0.0
-        self._others_ms = 0
+        self.seen_ms = 0
 
     def available(self, now_ms: int) -> bool:
         """Whether new work may be sent to the server."""
@@ -91,22 +92,23 @@
 
     def busy(self, now_ms: int, *, hold_ms: int) -> None:
         """Take in that the server had no free slot."""
+        self.tried_ms = now_ms
         self._saw_others(now_ms, self.slots - self.in_flight)
         self.busy_until_ms = max(self.busy_until_ms, now_ms + hold_ms)
 
     def _saw_others(self, now_ms: int, others: int) -> None:
         self._others = float(max(0, others))
         self._others_mean += 0.1 * (self._others - self._others_mean)
-        self._others_ms = now_ms
+        self.seen_ms = now_ms
 
-    def free_slots(self, now_ms: int, work_ms: float) -> float:
+    def free_slots(self, now_ms: int, residual_ms: float) -> float:
         """Estimate the free slots.
 
         What was last seen of the other balancers fades to its mean as the
         work that was seen ends.
         """
-        age_ms = max(0, now_ms - self._others_ms)
-        weight = math.exp(-age_ms / max(1.0, work_ms))
+        age_ms = max(0, now_ms - self.seen_ms)
+        weight = math.exp(-age_ms / max(1.0, residual_ms))
         others = weight * self._others + (1 - weight) * self._others_mean
         return self.slots - self.in_flight - others
 
--- a/src/cyclamenridge/scheduling/usage.py
+++ b/src/cyclamenridge/scheduling/usage.py
@@ -17,6 +17,7 @@
         self.used = 0.0
         self.used_ms = 0
         self.work_ms = FIRST_WORK_MS
+        self.square_ms2 = FIRST_WORK_MS**2
         self.floor = 0.0
         self.credit = 0.0
         self.credit_ms = 0
@@ -77,20 +78,30 @@
         """Take in the work time of a request that was answered."""
         state = self._kinds.get(kind)
         if state is not None:
-            state.work_ms += WORK_WEIGHT * (max(1.0, work_ms) - state.work_ms)
+            work_ms = max(1.0, work_ms)
+            state.work_ms += WORK_WEIGHT * (work_ms - state.work_ms)
+            state.square_ms2 += WORK_WEIGHT * (
+                work_ms * work_ms - state.square_ms2
+            )
 
     def work_ms(self, kind: str) -> float:
         """Return the usual work time of a kind."""
         state = self._kinds.get(kind)
         return state.work_ms if state else FIRST_WORK_MS
 
-    def mean_work_ms(self) -> float:
-        """Return the work time averaged over the slots in use."""
+    def residual_ms(self) -> float:
+        """Return how long a slot seen in use stays in use on average.
+
+        Longer than half the mean work time: long work is seen more often.
+        """
         used = sum(kind.used for kind in self._kinds.values())
         if used < 0.01:
             return FIRST_WORK_MS
         return (
-            sum(kind.used * kind.work_ms for kind in self._kinds.values())
+            sum(
+                kind.used * kind.square_ms2 / (2 * kind.work_ms)
+                for kind in self._kinds.values()
+            )
             / used
         )
 
