--- a/src/cyclamenridge/ports/store.py
+++ b/src/cyclamenridge/ports/store.py
@@ -18,6 +18,10 @@
     """
 
 
+class CompactedError(errors.StoreError):
+    """The store does not keep that old a revision, or has not reached it."""
+
+
 class LeaseLapsedError(errors.StoreError):
     """The lease does not exist any more."""
 
@@ -111,8 +115,11 @@
     """
 
     @abc.abstractmethod
-    async def get(self, key: str) -> GetResult:
-        """Read one key."""
+    async def get(self, key: str, *, revision: int = 0) -> GetResult:
+        """Read one key, as it was at a store revision if one is given.
+
+        :raises CompactedError: when that revision cannot be read
+        """
 
     @abc.abstractmethod
     async def range(self, prefix: str) -> RangeResult:
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,497 @@
+"""Stand-in of the platform: the JSON gateway of etcd v3, in memory.
+
+Run it with ``python -m tests.standins.platform --listen 127.0.0.1:2379``.
+Faults are switched on by attributes or through the control listener.
+"""
+
+import argparse
+import asyncio
+import base64
+import collections
+import contextlib
+import copy
+import dataclasses
+import json
+
+from aiohttp import web
+
+INSTANCES = "/platform/instances/"
+MAX_VALUE_BYTES = 1_000_000
+# The body of a request holds the value in base64.
+_MAX_REQUEST_BYTES = 2_000_000
+_COMPACTED = "mvcc: required revision has been compacted"
+_WRITES = ("/v3/kv/txn", "/v3/lease/grant", "/v3/lease/revoke")
+
+
+@dataclasses.dataclass
+class Faults:
+    """Faults that are switched on.
+
+    :param lose_answers: number of writes that take effect without answer
+    :param drop_writes: number of writes that are cut before their effect
+    :param late_writes: number of writes that are cut and take effect
+        ``late_ms`` later
+    :param silent: requests are read and never answered
+    """
+
+    delay_ms: int = 0
+    silent: bool = False
+    lose_answers: int = 0
+    drop_writes: int = 0
+    late_writes: int = 0
+    late_ms: int = 300
+    watch_lag_ms: int = 0
+    instance_lag_ms: int = 0
+
+
+@dataclasses.dataclass
+class Entry:
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    version: int
+    lease: int
+
+
+@dataclasses.dataclass
+class Logged:
+    revision: int
+    key: bytes
+    entry: Entry | None
+    time: float
+
+
+@dataclasses.dataclass
+class State:
+    """What a copy of the store holds."""
+
+    revision: int = 1
+    entries: dict[bytes, Entry] = dataclasses.field(default_factory=dict)
+    log: list[Logged] = dataclasses.field(default_factory=list)
+    compacted: int = 0
+
+
+class Refused(Exception):
+    def __init__(self, status: int, code: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+
+
+class Platform:
+    """The stand-in; ``start`` and ``close`` it on a running loop."""
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        self.host = host
+        self.port = port
+        self.control_port = 0
+        self.faults = Faults()
+        self.state = State()
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.watches = 0
+        self._copy = State()
+        self._leases: dict[int, tuple[int, asyncio.TimerHandle]] = {}
+        self._next_lease = 7_000_000_000_000_000_001
+        self._changed = asyncio.Event()
+        self._transports: set[asyncio.Transport] = set()
+        self._runner: web.AppRunner | None = None
+        self._control: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._timers: set[asyncio.TimerHandle] = set()
+
+    @property
+    def url(self) -> str:
+        return f"http://{self.host}:{self.port}"
+
+    @property
+    def control_url(self) -> str:
+        return f"http://{self.host}:{self.control_port}/control"
+
+    async def start(self) -> None:
+        app = web.Application(client_max_size=_MAX_REQUEST_BYTES)
+        app.router.add_post("/v3/watch", self._watch)
+        for path, handler in (
+            ("/v3/kv/range", self._range),
+            ("/v3/kv/txn", self._txn),
+            ("/v3/lease/grant", self._grant),
+            ("/v3/lease/keepalive", self._keepalive),
+            ("/v3/lease/revoke", self._revoke),
+        ):
+            app.router.add_post(path, self._handler(path, handler))
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await self._listen()
+        control = web.Application()
+        control.router.add_post("/control/{action}", self._on_control)
+        control.router.add_get("/control/stats", self._on_stats)
+        self._control = web.AppRunner(control, shutdown_timeout=0.1)
+        await self._control.setup()
+        site = web.TCPSite(self._control, self.host, 0)
+        await site.start()
+        self.control_port = self._control.addresses[0][1]
+
+    async def close(self) -> None:
+        for timer in self._timers | {t for _, t in self._leases.values()}:
+            timer.cancel()
+        self._abort_connections()
+        await self._runner.cleanup()
+        await self._control.cleanup()
+
+    async def set_outage(self, active: bool) -> None:
+        """Refuse connections, or accept them again on the same port."""
+        if active and self._site is not None:
+            await self._site.stop()
+            self._site = None
+            self._abort_connections()
+        elif not active and self._site is None:
+            await self._listen()
+
+    def keep_copy(self) -> None:
+        """Keep a copy to which ``restore_copy`` goes back."""
+        self._copy = copy.deepcopy(self.state)
+
+    def restore_copy(self) -> None:
+        """Restart with the older copy."""
+        self.state = copy.deepcopy(self._copy)
+        self._abort_connections()
+        self._wake()
+
+    def compact(self) -> None:
+        self.state.compacted = self.state.revision
+        self.state.log.clear()
+
+    def put(self, key: str, value: bytes | None, lease: int = 0) -> int:
+        """Write or delete a key, as the platform itself does."""
+        state, raw = self.state, key.encode()
+        old = state.entries.get(raw)
+        if value is None and old is None:
+            return state.revision
+        state.revision += 1
+        entry = None
+        if value is None:
+            del state.entries[raw]
+        else:
+            entry = Entry(
+                value,
+                old.create_revision if old else state.revision,
+                state.revision,
+                old.version + 1 if old else 1,
+                lease,
+            )
+            state.entries[raw] = entry
+        now = asyncio.get_running_loop().time()
+        state.log.append(Logged(state.revision, raw, entry, now))
+        self._wake()
+        return state.revision
+
+    def set_instance(self, name: str, value: bytes | None) -> None:
+        """Change the instance list after its lag."""
+        lag_ms = self.faults.instance_lag_ms
+        self._later(lag_ms, lambda: self.put(INSTANCES + name, value))
+
+    def _later(self, delay_ms: int, action: object) -> None:
+        def run() -> None:
+            self._timers.discard(timer)
+            action()
+
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(delay_ms / 1000, run)
+        self._timers.add(timer)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _listen(self) -> None:
+        self._site = web.TCPSite(
+            self._runner, self.host, self.port, reuse_address=True
+        )
+        await self._site.start()
+        self.port = self._runner.addresses[0][1]
+
+    def _abort_connections(self) -> None:
+        for transport in self._transports:
+            transport.abort()
+        self._transports.clear()
+
+    def _handler(self, path: str, operation: object) -> object:
+        async def handle(request: web.Request) -> web.StreamResponse:
+            self.calls[path] += 1
+            self._transports.add(request.transport)
+            try:
+                return await self._answer(path, operation, request)
+            finally:
+                self._transports.discard(request.transport)
+
+        return handle
+
+    async def _answer(
+        self, path: str, operation: object, request: web.Request
+    ) -> web.StreamResponse:
+        body = json.loads(await request.read())
+        faults = self.faults
+        if faults.silent:
+            await asyncio.sleep(3600)
+        if faults.delay_ms:
+            await asyncio.sleep(faults.delay_ms / 1000)
+        if path in _WRITES and (faults.drop_writes or faults.late_writes):
+            if faults.drop_writes:
+                faults.drop_writes -= 1
+            else:
+                faults.late_writes -= 1
+                self._later(faults.late_ms, lambda: operation(body))
+            request.transport.abort()
+            return web.Response()
+        try:
+            answer = operation(body)
+        except Refused as exc:
+            return web.json_response(
+                {"error": str(exc), "message": str(exc), "code": exc.code},
+                status=exc.status,
+            )
+        if path in _WRITES and faults.lose_answers:
+            faults.lose_answers -= 1
+            request.transport.abort()
+        return web.json_response(answer)
+
+    def _header(self) -> dict[str, str]:
+        return {
+            "cluster_id": "1",
+            "member_id": "1",
+            "revision": str(self.state.revision),
+            "raft_term": "2",
+        }
+
+    def _range(self, body: dict) -> dict:
+        start = base64.b64decode(body["key"])
+        end = base64.b64decode(body.get("range_end", ""))
+        revision = int(body.get("revision", "0"))
+        entries = self.state.entries
+        if revision:
+            entries = self._entries_at(revision)
+        kvs = [
+            _kv(key, entry)
+            for key, entry in sorted(entries.items())
+            if _is_in(key, start, end)
+        ]
+        answer = {"header": self._header()}
+        if kvs:
+            answer |= {"kvs": kvs, "count": str(len(kvs))}
+        return answer
+
+    def _entries_at(self, revision: int) -> dict[bytes, Entry]:
+        if revision > self.state.revision:
+            message = "mvcc: required revision is a future revision"
+            raise Refused(400, 11, message)
+        if revision < self.state.compacted:
+            raise Refused(400, 11, _COMPACTED)
+        if revision == self.state.revision:
+            return self.state.entries
+        if self.state.compacted:
+            raise Refused(400, 11, _COMPACTED)
+        entries = {}
+        for logged in self.state.log:
+            if logged.revision <= revision:
+                entries[logged.key] = logged.entry
+        return {k: entry for k, entry in entries.items() if entry}
+
+    def _txn(self, body: dict) -> dict:
+        holds = True
+        for compare in body.get("compare", []):
+            entry = self.state.entries.get(base64.b64decode(compare["key"]))
+            revision = entry.mod_revision if entry else 0
+            holds = holds and revision == int(compare["mod_revision"])
+        responses = []
+        for request in body.get("success" if holds else "failure", []):
+            if "request_range" in request:
+                answer = self._range(request["request_range"])
+                responses.append({"response_range": answer})
+                continue
+            put = request["request_put"]
+            value = base64.b64decode(put.get("value", ""))
+            if len(value) > MAX_VALUE_BYTES:
+                raise Refused(400, 3, "etcdserver: request is too large")
+            lease = int(put.get("lease", "0"))
+            if lease and lease not in self._leases:
+                message = "etcdserver: requested lease not found"
+                raise Refused(404, 5, message)
+            self.put(base64.b64decode(put["key"]).decode(), value, lease)
+            responses.append({"response_put": {"header": self._header()}})
+        answer = {"header": self._header(), "responses": responses}
+        return answer | {"succeeded": True} if holds else answer
+
+    def _grant(self, body: dict) -> dict:
+        lease, ttl_s = self._next_lease, int(body["TTL"])
+        self._next_lease += 1
+        self._set_lease(lease, ttl_s)
+        return {
+            "header": self._header(),
+            "ID": str(lease),
+            "TTL": str(ttl_s),
+        }
+
+    def _set_lease(self, lease: int, ttl_s: int) -> None:
+        if lease in self._leases:
+            self._leases[lease][1].cancel()
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(ttl_s, self._end_lease, lease)
+        self._leases[lease] = (ttl_s, timer)
+
+    def _end_lease(self, lease: int) -> None:
+        _, timer = self._leases.pop(lease)
+        timer.cancel()
+        for key, entry in list(self.state.entries.items()):
+            if entry.lease == lease:
+                self.put(key.decode(), None)
+
+    def _keepalive(self, body: dict) -> dict:
+        lease = int(body["ID"])
+        result = {"header": self._header(), "ID": str(lease)}
+        if lease in self._leases:
+            ttl_s, _ = self._leases[lease]
+            self._set_lease(lease, ttl_s)
+            result["TTL"] = str(ttl_s)
+        return {"result": result}
+
+    def _revoke(self, body: dict) -> dict:
+        lease = int(body["ID"])
+        if lease not in self._leases:
+            message = "etcdserver: requested lease not found"
+            raise Refused(404, 5, message)
+        self._end_lease(lease)
+        return {"header": self._header()}
+
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
+        self.calls["/v3/watch"] += 1
+        self.watches += 1
+        self._transports.add(request.transport)
+        try:
+            create = json.loads(await request.read())["create_request"]
+            if self.faults.silent:
+                await asyncio.sleep(3600)
+            response = web.StreamResponse()
+            await response.prepare(request)
+            with contextlib.suppress(ConnectionError):
+                await self._stream(response, create)
+            return response
+        finally:
+            self.watches -= 1
+            self._transports.discard(request.transport)
+
+    async def _stream(
+        self, response: web.StreamResponse, create: dict
+    ) -> None:
+        start = base64.b64decode(create["key"])
+        end = base64.b64decode(create.get("range_end", ""))
+        position = int(create.get("start_revision", "0"))
+        position = position or self.state.revision + 1
+        await _send(response, {"header": self._header(), "created": True})
+        if position <= self.state.compacted:
+            result = {
+                "header": self._header(),
+                "canceled": True,
+                "compact_revision": str(self.state.compacted + 1),
+            }
+            await _send(response, result)
+            return
+        loop = asyncio.get_running_loop()
+        while True:
+            changed = self._changed
+            ready = loop.time() - self.faults.watch_lag_ms / 1000
+            events = []
+            for logged in self.state.log:
+                if logged.revision < position:
+                    continue
+                if logged.time > ready:
+                    break
+                position = logged.revision + 1
+                if _is_in(logged.key, start, end):
+                    events.append(_event(logged))
+            if events:
+                result = {"header": self._header(), "events": events}
+                await _send(response, result)
+            lagging = position <= self.state.revision
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.02 if lagging else None):
+                    await changed.wait()
+
+    async def _on_control(self, request: web.Request) -> web.Response:
+        action = request.match_info["action"]
+        body = json.loads(await request.read() or b"{}")
+        if action == "faults":
+            outage = body.pop("outage", None)
+            self.faults = dataclasses.replace(self.faults, **body)
+            if outage is not None:
+                await self.set_outage(outage)
+        elif action == "instance":
+            name, value = body["name"], body.get("value")
+            data = None if value is None else json.dumps(value).encode()
+            self.set_instance(name, data)
+        elif action == "keep-copy":
+            self.keep_copy()
+        elif action == "restore-copy":
+            self.restore_copy()
+        else:
+            raise web.HTTPNotFound
+        return web.json_response({})
+
+    async def _on_stats(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "calls": dict(self.calls),
+                "watches": self.watches,
+                "revision": self.state.revision,
+            }
+        )
+
+
+def _is_in(key: bytes, start: bytes, end: bytes) -> bool:
+    return start <= key < end if end else key == start
+
+
+def _kv(key: bytes, entry: Entry) -> dict[str, str]:
+    kv = {
+        "key": base64.b64encode(key).decode(),
+        "create_revision": str(entry.create_revision),
+        "mod_revision": str(entry.mod_revision),
+        "version": str(entry.version),
+    }
+    if entry.value:
+        kv["value"] = base64.b64encode(entry.value).decode()
+    if entry.lease:
+        kv["lease"] = str(entry.lease)
+    return kv
+
+
+def _event(logged: Logged) -> dict:
+    if logged.entry is not None:
+        return {"kv": _kv(logged.key, logged.entry)}
+    key = base64.b64encode(logged.key).decode()
+    kv = {"key": key, "mod_revision": str(logged.revision)}
+    return {"type": "DELETE", "kv": kv}
+
+
+async def _send(response: web.StreamResponse, result: dict) -> None:
+    await response.write(json.dumps({"result": result}).encode() + b"\n")
+
+
+async def serve(host: str, port: int) -> None:
+    platform = Platform(host, port)
+    await platform.start()
+    print(f"{platform.url} {platform.control_url}", flush=True)
+    try:
+        await asyncio.Event().wait()
+    finally:
+        await platform.close()
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--listen", default="127.0.0.1:2379")
+    host, _, port = parser.parse_args().listen.rpartition(":")
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(serve(host, int(port)))
+
+
+if __name__ == "__main__":
+    main()
