--- a/tests/node/callers.py
+++ b/tests/node/callers.py
@@ -223,12 +223,12 @@
     def _reply(self, message):
         if message.error is not None:
             return
-        reply = _decode(message, caller.Reply)
         for request in self.requests:
             if request.msgid == message.msgid and not request.done:
                 break
         else:
             return
+        reply = _decode(message, caller.Reply)
         if reply.seq != request.seq or reply.check != request.check:
             return
         if reply.outcome is Outcome.PENDING:
