Split sessions and feeds into modules with one job each

Flows that a server may have created before its link broke are now detached on the next link. A server missing in the platform's list no longer ends its feeds: the list lags, and a caller gives up an unreachable server by itself.

--- /dev/null
+++ b/src/cyclamenridge/feed/grants.py
@@ -0,0 +1,37 @@
+"""Feed tokens sent to callers."""
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.feed import flow as flow_lib
+from cyclamenridge.node import context as context_lib
+from cyclamenridge.wire import caller
+from cyclamenridge.wire import token as token_lib
+
+
+class Granter:
+    """Tells callers the token that is valid now."""
+
+    def __init__(self, ctx: context_lib.Context) -> None:
+        self._ctx = ctx
+
+    def grant(
+        self, feed: flow_lib.Feed, source: address_lib.Address, msgid: int
+    ) -> None:
+        """Answer ``subscribe`` or ``keepalive``."""
+        feed.waiter = None
+        if feed.token is None or feed.token_epoch != feed.epoch:
+            me = self._ctx.me
+            feed.token_epoch = feed.epoch
+            feed.token = self._ctx.tokens.encode(
+                token_lib.Token(
+                    type=token_lib.TokenType.FEED,
+                    service=token_lib.name_hash(feed.ref.service),
+                    owner=me.peer_address,
+                    incarnation=me.incarnation,
+                    ident=feed.ident,
+                    server=token_lib.name_hash(feed.ref.server),
+                    epoch=feed.epoch,
+                )
+            )
+        self._ctx.respond(
+            source, msgid, caller.FeedGrant(feed.token, feed.ident)
+        )
--- a/src/cyclamenridge/feed/owner.py
+++ b/src/cyclamenridge/feed/owner.py
@@ -7,6 +7,8 @@
 from cyclamenridge import address as address_lib
 from cyclamenridge.config import model
 from cyclamenridge.feed import flow as flow_lib
+from cyclamenridge.feed import grants
+from cyclamenridge.feed import table as table_lib
 from cyclamenridge.node import context as context_lib
 from cyclamenridge.node import events
 from cyclamenridge.node import links as links_lib
@@ -36,6 +38,7 @@
 PROBE_INTERVAL_MS = 1000
 MAX_PROBES_PER_TICK = 200
 MAX_ATTACHES_PER_TICK = 1000
+MAX_ORPHANS = 1000
 MAX_FEEDS = 100_000
 # Late datagrams make the epoch grow by a few; more in one go means that
 # two balancers compete, and the caller's next keepalive decides.
@@ -60,23 +63,22 @@
         self._ctx = ctx
         self._services = services
         self._links = links
-        # Ordered by last use.
-        self._feeds: collections.OrderedDict[int, Feed] = (
-            collections.OrderedDict()
-        )
-        self._by_server: dict[ServerRef, set[int]] = {}
-        self._waiting: dict[int, Feed] = {}
+        self._table = table_lib.FeedTable(services)
+        self._granter = grants.Granter(ctx)
+        # Flows that a server may have created although the feed was then
+        # placed elsewhere, because the link broke before the answer.
+        self._orphans: dict[ServerRef, dict[int, int]] = {}
         self._attach_queue: collections.deque[int] = collections.deque()
         self._probe_queue: collections.deque[int] = collections.deque()
 
     @property
     def feed_count(self) -> int:
         """Number of feeds."""
-        return len(self._feeds)
+        return len(self._table)
 
     def get(self, ident: int) -> Feed | None:
         """Return a feed."""
-        return self._feeds.get(ident)
+        return self._table.get(ident)
 
     def unreachable(self, feed: Feed) -> bool:
         """Tell whether the server of a feed cannot be reached from here."""
@@ -91,11 +93,11 @@
         session: session_owner.Session,
     ) -> None:
         """Open a feed, or find the one that a resend asks for."""
-        known = self._feeds.get(session.feeds.get(params.nonce, -1))
+        known = self._table.get(session.feeds.get(params.nonce, -1))
         if known is not None:
-            self._use(now_ms, known, source)
+            self._table.use(now_ms, known, source)
             if known.state is State.ATTACHED:
-                self._grant(known, source, msgid)
+                self._granter.grant(known, source, msgid)
             else:
                 known.waiter = msgid
             return
@@ -109,7 +111,7 @@
             or kind.mode is not model.Mode.FEED
         ):
             self._ctx.refuse(source, msgid, Reason.BAD_REQUEST)
-        elif len(self._feeds) >= MAX_FEEDS:
+        elif len(self._table) >= MAX_FEEDS:
             self._ctx.refuse(
                 source, msgid, Reason.OVERLOADED, _OVERLOADED_RETRY_MS
             )
@@ -143,11 +145,11 @@
 
         :param mine: the token was granted by this process
         """
-        feed = self._feeds.get(token.ident)
+        feed = self._table.get(token.ident)
         if feed is None or (not mine and token.epoch >= feed.epoch):
             self._take_over(now_ms, source, msgid, params, token, feed)
             return
-        self._use(now_ms, feed, source)
+        self._table.use(now_ms, feed, source)
         feed.caller_seq = max(feed.caller_seq, params.last_seq)
         if feed.state is not State.ATTACHED:
             feed.waiter = msgid
@@ -155,14 +157,14 @@
         if self._needs_attach(now_ms, feed, mine):
             feed.confirmed = feed.confirmed or mine
             self._attach(now_ms, feed, feed.epoch)
-        self._grant(feed, source, msgid)
+        self._granter.grant(feed, source, msgid)
 
     def close(self, now_ms: int, token: token_lib.Token) -> None:
         """End a feed at the request of its caller."""
-        feed = self._feeds.get(token.ident)
+        feed = self._table.get(token.ident)
         if feed is not None:
             self._detach(now_ms, feed.ref, feed.ident, feed.epoch)
-            self._remove(now_ms, feed)
+            self._table.remove(now_ms, feed)
             return
         service = self._ctx.service_names.get(token.service, "")
         ref = self._services.server_by_hash(service, token.server)
@@ -176,7 +178,7 @@
         except msgspec.DecodeError:
             self._ctx.counters["link_messages_malformed"] += 1
             return
-        feed = self._feeds.get(event.flow_id)
+        feed = self._table.get(event.flow_id)
         if feed is None or feed.ref != ref:
             self._ctx.counters["events_without_feed"] += 1
             return
@@ -200,7 +202,7 @@
         answer: rpc.Response,
     ) -> None:
         """Take the answer of a server to ``attach``."""
-        feed = self._feeds.get(pending.ident)  # type: ignore[call-overload]
+        feed = self._table.get(pending.ident)  # type: ignore[call-overload]
         if pending.method != "attach" or feed is None or feed.ref != ref:
             return
         if pending.attempt != feed.attach_number:
@@ -225,8 +227,10 @@
         self, now_ms: int, ref: ServerRef, identity: backend.Identity
     ) -> None:
         """Attach the feeds of a server on its new link."""
-        for ident in list(self._by_server.get(ref, ())):
-            feed = self._feeds[ident]
+        for ident, epoch in self._orphans.pop(ref, {}).items():
+            self._detach(now_ms, ref, ident, epoch)
+        for ident in self._table.at_server(ref):
+            feed = self._table[ident]
             if feed.incarnation not in (None, identity.incarnation):
                 self._broken(now_ms, feed)
             else:
@@ -235,35 +239,30 @@
 
     def link_lost(self, now_ms: int, ref: ServerRef) -> None:
         """Note that the feeds of a server get no events for now."""
-        for ident in list(self._by_server.get(ref, ())):
-            feed = self._feeds[ident]
+        for ident in self._table.at_server(ref):
+            feed = self._table[ident]
             if feed.create and not feed.counted:
                 self._place(now_ms, feed, ref.service)
             else:
-                self._wait(now_ms, feed)
+                self._table.wait(now_ms, feed)
 
     def tick(self, now_ms: int) -> None:
         """Expire feeds and waits, and attach what is queued."""
         self._drain_queue(now_ms)
-        for feed in list(self._waiting.values()):
+        for feed in list(self._table.waiting.values()):
             if now_ms - feed.waiting_ms < ATTACH_LIMIT_MS:
                 continue
-            if self._links.identity(feed.ref) is None and self._services.gone(
-                feed.ref
-            ):
-                self._broken(now_ms, feed)
-            elif feed.waiter is not None:
+            # A server that cannot be reached may live. Its flows are given
+            # up only when it says itself that it does not know them.
+            if feed.waiter is not None:
                 self._fail(now_ms, feed, Reason.NO_SERVER)
-        while self._feeds:
-            feed = next(iter(self._feeds.values()))
-            if now_ms - feed.used_ms < FEED_IDLE_MS:
-                break
+        while (feed := self._table.idle(now_ms, FEED_IDLE_MS)) is not None:
             # Without a keepalive that names this node the caller may
             # use a token of another one, so the flow is left alone.
             if feed.confirmed:
                 self._detach(now_ms, feed.ref, feed.ident, feed.epoch)
             self._ctx.counters["feeds_expired"] += 1
-            self._remove(now_ms, feed)
+            self._table.remove(now_ms, feed)
 
     def probe(self, now_ms: int) -> None:
         """Find out during a planned stop which feeds have moved.
@@ -272,9 +271,9 @@
         balancer has attached the feed.
         """
         if not self._probe_queue:
-            self._probe_queue.extend(self._feeds)
+            self._probe_queue.extend(self._table)
         for _ in range(min(MAX_PROBES_PER_TICK, len(self._probe_queue))):
-            feed = self._feeds.get(self._probe_queue[0])
+            feed = self._table.get(self._probe_queue[0])
             if feed is not None:
                 if now_ms - feed.attach_ms < PROBE_INTERVAL_MS:
                     return
@@ -314,7 +313,7 @@
                 # This node may not have the newest configuration yet.
                 self._ctx.refuse(source, msgid, Reason.NO_SERVER, _RETRY_MS)
                 return
-            if self._ctx.leaving or len(self._feeds) >= MAX_FEEDS:
+            if self._ctx.leaving or len(self._table) >= MAX_FEEDS:
                 self._ctx.refuse(source, msgid, Reason.LEAVING, _RETRY_MS)
                 return
             feed = Feed(
@@ -327,9 +326,9 @@
                 last_seq=params.last_seq,
                 now_ms=now_ms,
             )
-            self._add(feed, ref, runtime)
+            self._table.add(feed, ref, runtime)
         self._ctx.counters["feeds_rehomed"] += 1
-        self._use(now_ms, feed, source)
+        self._table.use(now_ms, feed, source)
         feed.caller_seq = max(feed.caller_seq, params.last_seq)
         feed.waiter = msgid
         feed.confirmed = False
@@ -339,11 +338,14 @@
     def _place(self, now_ms: int, feed: Feed, service: str) -> bool:
         """Choose a server for a new feed and attach it there."""
         runtime = self._services.acquire(now_ms, service)
-        if feed.ident in self._feeds:
-            # The server may have created the flow before its link broke.
+        if feed.ident in self._table:
             feed.tried.add(feed.ref.server)
-            self._detach(now_ms, feed.ref, feed.ident, feed.epoch)
-            self._remove(now_ms, feed)
+            orphans = self._orphans.setdefault(feed.ref, {})
+            if self._links.identity(feed.ref) is None and (
+                len(orphans) < MAX_ORPHANS
+            ):
+                orphans[feed.ident] = feed.epoch
+            self._table.remove(now_ms, feed)
         server = None
         if runtime is not None and len(feed.tried) < _MAX_PLACEMENTS:
             server = runtime.scheduler.place_feed(
@@ -356,7 +358,7 @@
                     feed.source, feed.waiter, reason, _OVERLOADED_RETRY_MS
                 )
             return False
-        self._add(feed, ServerRef(service, server), runtime)
+        self._table.add(feed, ServerRef(service, server), runtime)
         self._attach(now_ms, feed, feed.epoch)
         return True
 
@@ -385,7 +387,7 @@
         feed.attaching = sent
         feed.sending_seq = feed.caller_seq
         if not sent or feed.state is not State.ATTACHED:
-            self._wait(now_ms, feed)
+            self._table.wait(now_ms, feed)
 
     def _attached(self, now_ms: int, feed: Feed) -> None:
         feed.attaching = False
@@ -394,7 +396,7 @@
         identity = self._links.identity(feed.ref)
         if identity is not None:
             feed.incarnation = identity.incarnation
-        self._waiting.pop(feed.ident, None)
+        self._table.waiting.pop(feed.ident, None)
         feed.waiting_ms = 0
         feed.state = State.ATTACHED
         runtime = self._services.get(feed.ref.service)
@@ -403,14 +405,14 @@
             runtime.scheduler.feed_attached(now_ms, feed.ref.server)
             self._ctx.counters["feeds_attached"] += 1
         if feed.waiter is not None:
-            self._grant(feed, feed.source, feed.waiter)
+            self._granter.grant(feed, feed.source, feed.waiter)
 
     def _stale(self, now_ms: int, feed: Feed) -> None:
         """Go on after another balancer attached the feed."""
         feed.attaching = False
         if self._ctx.leaving:
             self._ctx.counters["feeds_moved"] += 1
-            self._remove(now_ms, feed)
+            self._table.remove(now_ms, feed)
             return
         feed.steps += 1
         if feed.steps > MAX_EPOCH_STEPS:
@@ -424,7 +426,7 @@
         self._ctx.counters["feeds_broken"] += 1
         if feed.waiter is not None:
             self._ctx.refuse(feed.source, feed.waiter, Reason.SERVER_LOST)
-        self._remove(now_ms, feed)
+        self._table.remove(now_ms, feed)
 
     def _fail(self, now_ms: int, feed: Feed, reason: Reason) -> None:
         """Tell a waiting caller to try again."""
@@ -433,71 +435,14 @@
             feed.waiter = None
         if feed.state is not State.ATTACHED:
             # The next keepalive starts again from the caller's token.
-            self._remove(now_ms, feed)
-
-    def _wait(self, now_ms: int, feed: Feed) -> None:
-        feed.state = State.WAITING
-        if not feed.waiting_ms:
-            feed.waiting_ms = now_ms
-        self._waiting[feed.ident] = feed
+            self._table.remove(now_ms, feed)
 
     def _drain_queue(self, now_ms: int) -> None:
         for _ in range(min(MAX_ATTACHES_PER_TICK, len(self._attach_queue))):
-            feed = self._feeds.get(self._attach_queue.popleft())
+            feed = self._table.get(self._attach_queue.popleft())
             if feed is not None and feed.state is not State.ATTACHED:
                 self._attach(now_ms, feed, feed.epoch)
 
-    def _grant(self, feed: Feed, source: Address, msgid: int) -> None:
-        feed.waiter = None
-        if feed.token is None or feed.token_epoch != feed.epoch:
-            me = self._ctx.me
-            feed.token_epoch = feed.epoch
-            feed.token = self._ctx.tokens.encode(
-                token_lib.Token(
-                    type=token_lib.TokenType.FEED,
-                    service=token_lib.name_hash(feed.ref.service),
-                    owner=me.peer_address,
-                    incarnation=me.incarnation,
-                    ident=feed.ident,
-                    server=token_lib.name_hash(feed.ref.server),
-                    epoch=feed.epoch,
-                )
-            )
-        self._ctx.respond(
-            source, msgid, caller.FeedGrant(feed.token, feed.ident)
-        )
-
-    def _use(self, now_ms: int, feed: Feed, source: Address) -> None:
-        feed.used_ms = now_ms
-        feed.source = source
-        self._feeds.move_to_end(feed.ident)
-
-    def _add(
-        self, feed: Feed, ref: ServerRef, runtime: services_lib.Runtime
-    ) -> None:
-        feed.ref = ref
-        feed.state = State.WAITING
-        feed.waiting_ms = 0
-        self._feeds[feed.ident] = feed
-        self._by_server.setdefault(ref, set()).add(feed.ident)
-        runtime.users += 1
-        self._services.use_server(ref, 1)
-
-    def _remove(self, now_ms: int, feed: Feed) -> None:
-        del self._feeds[feed.ident]
-        self._waiting.pop(feed.ident, None)
-        idents = self._by_server[feed.ref]
-        idents.discard(feed.ident)
-        if not idents:
-            del self._by_server[feed.ref]
-        runtime = self._services.get(feed.ref.service)
-        if runtime is not None:
-            runtime.users -= 1
-            if feed.counted:
-                runtime.scheduler.feed_detached(now_ms, feed.ref.server)
-        feed.counted = False
-        self._services.use_server(feed.ref, -1)
-
     def _detach(
         self, now_ms: int, ref: ServerRef, ident: int, epoch: int
     ) -> None:
--- /dev/null
+++ b/src/cyclamenridge/feed/table.py
@@ -0,0 +1,97 @@
+"""Table of the feeds of a node."""
+
+import collections
+from collections.abc import Iterator
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.feed import flow as flow_lib
+from cyclamenridge.node import events
+from cyclamenridge.node import services as services_lib
+
+Feed = flow_lib.Feed
+ServerRef = events.ServerRef
+State = flow_lib.State
+
+
+class FeedTable:
+    """Feeds by id and by server, ordered by last use.
+
+    :ivar waiting: feeds whose attach has not been answered
+    """
+
+    def __init__(self, services: services_lib.Services) -> None:
+        self._services = services
+        self._feeds: collections.OrderedDict[int, Feed] = (
+            collections.OrderedDict()
+        )
+        self._by_server: dict[ServerRef, set[int]] = {}
+        self.waiting: dict[int, Feed] = {}
+
+    def __len__(self) -> int:
+        return len(self._feeds)
+
+    def __iter__(self) -> Iterator[int]:
+        return iter(self._feeds)
+
+    def __contains__(self, ident: int) -> bool:
+        return ident in self._feeds
+
+    def __getitem__(self, ident: int) -> Feed:
+        return self._feeds[ident]
+
+    def get(self, ident: int) -> Feed | None:
+        """Return a feed."""
+        return self._feeds.get(ident)
+
+    def at_server(self, ref: ServerRef) -> list[int]:
+        """Return the feeds of a server."""
+        return list(self._by_server.get(ref, ()))
+
+    def idle(self, now_ms: int, limit_ms: int) -> Feed | None:
+        """Return a feed that was not used for so long."""
+        for feed in self._feeds.values():
+            return feed if now_ms - feed.used_ms >= limit_ms else None
+        return None
+
+    def use(
+        self, now_ms: int, feed: Feed, source: address_lib.Address
+    ) -> None:
+        """Note that the caller was heard."""
+        feed.used_ms = now_ms
+        feed.source = source
+        self._feeds.move_to_end(feed.ident)
+
+    def wait(self, now_ms: int, feed: Feed) -> None:
+        """Note that no events arrive until the feed is attached."""
+        feed.state = State.WAITING
+        if not feed.waiting_ms:
+            feed.waiting_ms = now_ms
+        self.waiting[feed.ident] = feed
+
+    def add(
+        self, feed: Feed, ref: ServerRef, runtime: services_lib.Runtime
+    ) -> None:
+        """Add a feed that is to be attached at a server."""
+        feed.ref = ref
+        feed.state = State.WAITING
+        feed.waiting_ms = 0
+        self._feeds[feed.ident] = feed
+        self._by_server.setdefault(ref, set()).add(feed.ident)
+        runtime.users += 1
+        self._services.use_server(ref, 1)
+
+    def remove(self, now_ms: int, feed: Feed) -> None:
+        """Forget a feed."""
+        del self._feeds[feed.ident]
+        self.waiting.pop(feed.ident, None)
+        idents = self._by_server[feed.ref]
+        idents.discard(feed.ident)
+        if not idents:
+            del self._by_server[feed.ref]
+        runtime = self._services.get(feed.ref.service)
+        if runtime is not None:
+            runtime.users -= 1
+            if feed.counted:
+                runtime.scheduler.feed_detached(now_ms, feed.ref.server)
+        feed.counted = False
+        self._services.use_server(feed.ref, -1)
--- a/src/cyclamenridge/node/dispatch.py
+++ b/src/cyclamenridge/node/dispatch.py
@@ -180,7 +180,7 @@
             )
         elif self._is_lost(now_ms, token):
             req = _CALL.decode(params)
-            self._sessions.unknown(
+            self._sessions.replies.unknown(
                 source, msgid, req.seq, req.check, Reason.OWNER_LOST
             )
 
@@ -200,7 +200,7 @@
             )
         elif self._is_lost(now_ms, token):
             req = _CANCEL.decode(params)
-            self._sessions.unknown(
+            self._sessions.replies.unknown(
                 source, msgid, req.seq, 0, Reason.OWNER_LOST
             )
 
--- a/src/cyclamenridge/node/services.py
+++ b/src/cyclamenridge/node/services.py
@@ -59,7 +59,6 @@
         self._rng = rng
         self._runtimes: dict[str, Runtime] = {}
         self._listed: dict[ServerRef, str] = {}
-        self._listed_services: set[str] = set()
 
     def runtimes(self) -> tuple[Runtime, ...]:
         """Return all services that are served here."""
@@ -189,10 +188,6 @@
                 return ServerRef(service, name)
         return None
 
-    def gone(self, ref: ServerRef) -> bool:
-        """Tell whether the platform's list proves that a server is gone."""
-        return ref.service in self._listed_services and ref not in self._listed
-
     def instances(
         self, now_ms: int, listed: tuple[events.ListedInstance, ...]
     ) -> None:
@@ -203,7 +198,6 @@
             for item in listed
             if item.role != "balancer"
         }
-        self._listed_services = {ref.service for ref in self._listed}
         for ref in before | set(self._listed):
             self._apply_listed(now_ms, ref)
 
--- a/src/cyclamenridge/session/execution.py
+++ b/src/cyclamenridge/session/execution.py
@@ -1,8 +1,5 @@
 """Execution of whole requests on backend servers, at most once."""
 
-import abc
-import enum
-
 import msgspec
 
 from cyclamenridge.node import context as context_lib
@@ -10,11 +7,14 @@
 from cyclamenridge.node import links as links_lib
 from cyclamenridge.node import services as services_lib
 from cyclamenridge.scheduling import types as scheduling
+from cyclamenridge.session import active as active_lib
 from cyclamenridge.wire import backend
 from cyclamenridge.wire import caller
 from cyclamenridge.wire import rpc
 
+Active = active_lib.Active
 Outcome = caller.Outcome
+Phase = active_lib.Phase
 Reason = caller.Reason
 RequestKey = scheduling.RequestKey
 ServerRef = events.ServerRef
@@ -38,68 +38,6 @@
 )
 
 
-class Phase(enum.Enum):
-    """Where a request is."""
-
-    QUEUED = "queued"
-    RUNNING = "running"
-    IN_DOUBT = "in_doubt"
-
-
-class Active:
-    """A request whose outcome is open.
-
-    :param maybe_run: an earlier attempt may have run, so that a refusal
-        of a later one does not prove that the request was not run
-    :param stop_reason: why the request is being abandoned
-    """
-
-    __slots__ = (
-        "attempt",
-        "doubt_ms",
-        "incarnation",
-        "maybe_run",
-        "phase",
-        "ref",
-        "request",
-        "resolve_ms",
-        "sent_ms",
-        "service",
-        "stop_reason",
-    )
-
-    def __init__(
-        self, request: scheduling.QueuedRequest, service: str
-    ) -> None:
-        self.request = request
-        self.service = service
-        self.phase = Phase.QUEUED
-        self.ref = ServerRef(service, "")
-        self.incarnation = 0
-        self.attempt = 0
-        self.sent_ms = 0
-        self.doubt_ms = 0
-        self.resolve_ms = 0
-        self.maybe_run = False
-        self.stop_reason: Reason | None = None
-
-
-class OutcomeListener(abc.ABC):
-    """Takes the outcome of each request."""
-
-    @abc.abstractmethod
-    def finished(
-        self,
-        now_ms: int,
-        key: RequestKey,
-        outcome: Outcome,
-        reason: Reason,
-        retry_after_ms: int,
-        payload: bytes,
-    ) -> None:
-        """Take the final outcome of a request."""
-
-
 class Executor:
     """Drives requests from the queue of a service to their outcome."""
 
@@ -108,7 +46,7 @@
         ctx: context_lib.Context,
         services: services_lib.Services,
         links: links_lib.LinkTable,
-        listener: OutcomeListener,
+        listener: active_lib.OutcomeListener,
     ) -> None:
         self._ctx = ctx
         self._services = services
--- a/src/cyclamenridge/session/owner.py
+++ b/src/cyclamenridge/session/owner.py
@@ -4,12 +4,16 @@
 from collections.abc import Iterator
 
 from cyclamenridge import address as address_lib
-from cyclamenridge.config import model
 from cyclamenridge.node import context as context_lib
 from cyclamenridge.node import services as services_lib
 from cyclamenridge.scheduling import types as scheduling
+from cyclamenridge.session import active as active_lib
+from cyclamenridge.session import admission
 from cyclamenridge.session import execution
+from cyclamenridge.session import memory as memory_lib
 from cyclamenridge.session import parts as parts_lib
+from cyclamenridge.session import replies as replies_lib
+from cyclamenridge.session import state as state_lib
 from cyclamenridge.session import window as window_lib
 from cyclamenridge.wire import caller
 from cyclamenridge.wire import token as token_lib
@@ -18,64 +22,20 @@
 Outcome = caller.Outcome
 Reason = caller.Reason
 Record = window_lib.Record
+Session = state_lib.Session
 Phase = window_lib.Phase
 
 SESSION_IDLE_MS = 120_000
 # A session is about 1 KB without payloads; a node has 128 MB.
 MAX_SESSIONS = 50_000
-MAX_SESSION_BYTES = 16 * 2**20
-MAX_NODE_BYTES = 48 * 2**20
 # A record without payload, with its place in the table.
 RECORD_BYTES = 400
-# An answer is sent in windows, because one burst of thousands of parts
-# would overflow the socket buffer of the caller.
-SEND_WINDOW_PARTS = 32
-# A resend of a request with many parts brings many datagrams at once;
-# they cause one resend of the answer.
-RESEND_INTERVAL_MS = 20
 # How long a planned stop waits for the acknowledgement of an answer.
 LINGER_MS = 2000
 _OVERLOADED_RETRY_MS = 1000
 
 
-class Session:
-    """A session of a caller with a service."""
-
-    __slots__ = (
-        "bytes",
-        "customer",
-        "feeds",
-        "ident",
-        "in_progress",
-        "opened_by",
-        "service",
-        "token",
-        "used_ms",
-        "window",
-    )
-
-    def __init__(
-        self,
-        ident: int,
-        service: str,
-        customer: str,
-        token: bytes,
-        opened_by: tuple[str, str, int, Address],
-        now_ms: int,
-    ) -> None:
-        self.ident = ident
-        self.service = service
-        self.customer = customer
-        self.token = token
-        self.opened_by = opened_by
-        self.used_ms = now_ms
-        self.window = window_lib.Window()
-        self.bytes = 0
-        self.in_progress = 0
-        self.feeds: dict[int, int] = {}
-
-
-class SessionOwner(execution.OutcomeListener):
+class SessionOwner(active_lib.OutcomeListener):
     """Owns sessions: grants, windows, parts and replies."""
 
     def __init__(
@@ -90,7 +50,8 @@
         self._opened: dict[tuple[str, str, int, Address], int] = {}
         self._partial: dict[scheduling.RequestKey, Record] = {}
         self._lingering: dict[scheduling.RequestKey, Record] = {}
-        self._bytes = 0
+        self._memory = memory_lib.Memory()
+        self.replies = replies_lib.ReplySender(ctx)
         self.executor: execution.Executor
 
     @property
@@ -101,7 +62,7 @@
     @property
     def buffered_bytes(self) -> int:
         """Memory charged for records and payloads."""
-        return self._bytes
+        return self._memory.used
 
     @property
     def unfinished_count(self) -> int:
@@ -184,14 +145,14 @@
         """Take one part of a request."""
         session = self.get(now_ms, ident)
         if session is None:
-            self.unknown(
+            self.replies.unknown(
                 source, msgid, params.seq, params.check, Reason.OWNER_LOST
             )
             return
         record = session.window.records.get(params.seq)
         if record is None:
             if params.seq < session.window.floor:
-                self.unknown(
+                self.replies.unknown(
                     source,
                     msgid,
                     params.seq,
@@ -202,16 +163,16 @@
             record = self._accept(now_ms, session, source, msgid, params)
             if record is None:
                 return
-        elif not self._is_resend(source, msgid, record, params):
+        elif not self.replies.is_resend(source, msgid, record, params):
             return
         record.source = source
         record.msgid = msgid
         if record.phase is Phase.PARTIAL:
             self._take_part(now_ms, session, record, params)
         elif record.phase is Phase.ACTIVE:
-            self._pending(record, record.parts)
+            self.replies.pending(record, record.parts)
         elif record.phase is Phase.DONE:
-            self._resend(now_ms, record)
+            self.replies.resend(now_ms, record)
 
     def cancel(
         self,
@@ -224,12 +185,14 @@
         """Abandon a request; one that has not arrived is refused later."""
         session = self.get(now_ms, ident)
         if session is None:
-            self.unknown(source, msgid, params.seq, 0, Reason.OWNER_LOST)
+            self.replies.unknown(
+                source, msgid, params.seq, 0, Reason.OWNER_LOST
+            )
             return
         record = session.window.records.get(params.seq)
         if record is None:
             if params.seq < session.window.floor:
-                self.unknown(
+                self.replies.unknown(
                     source, msgid, params.seq, 0, Reason.WINDOW_PASSED
                 )
                 return
@@ -255,9 +218,9 @@
                 Reason.CANCELLED,
             )
             if record.phase is Phase.ACTIVE:
-                self._pending(record, record.parts)
+                self.replies.pending(record, record.parts)
         elif record.phase is Phase.DONE:
-            self._resend(now_ms, record)
+            self.replies.resend(now_ms, record)
 
     def ack(self, now_ms: int, params: caller.Ack, ident: int) -> None:
         """Send further parts of an answer, or free it."""
@@ -270,17 +233,13 @@
         total = parts_lib.count(record.payload)
         if params.part >= total:
             self._lingering.pop(scheduling.RequestKey(ident, params.seq), None)
-            self._charge(session, record, RECORD_BYTES - record.charged)
+            self._memory.charge(session, record, RECORD_BYTES - record.charged)
             before = len(session.window.records)
             session.window.acknowledged(record)
             freed = before - len(session.window.records)
-            self._free(session, freed * RECORD_BYTES)
+            self._memory.free(session, freed * RECORD_BYTES)
         elif params.part > record.acked_parts:
-            record.acked_parts = params.part
-            record.changed_ms = now_ms
-            self._send_parts(
-                now_ms, record, max(record.sent_parts, params.part)
-            )
+            self.replies.progress(now_ms, record, params.part)
 
     def close(self, now_ms: int, ident: int) -> None:
         """End a session; what is queued is not run."""
@@ -288,20 +247,6 @@
         if session is not None:
             self._remove(now_ms, session)
 
-    def unknown(
-        self,
-        source: Address,
-        msgid: int,
-        seq: int,
-        check: int,
-        reason: Reason,
-    ) -> None:
-        """Tell a caller that the outcome of a request is not known."""
-        self._ctx.counters["replies_unknown"] += 1
-        self._ctx.respond(
-            source, msgid, caller.Reply(seq, check, Outcome.UNKNOWN, reason)
-        )
-
     def finished(
         self,
         now_ms: int,
@@ -319,14 +264,14 @@
         if record is None or record.phase is not Phase.ACTIVE:
             self._ctx.counters["outcomes_unexpected"] += 1
             return
-        self._charge(session, record, RECORD_BYTES - record.charged)
+        self._memory.charge(session, record, RECORD_BYTES - record.charged)
         if payload:
             too_large = len(payload) > caller.MAX_PARTS * caller.MAX_PART_BYTES
-            if too_large or not self._has_room(session, len(payload)):
+            if too_large or not self._memory.has_room(session, len(payload)):
                 outcome, reason = Outcome.UNKNOWN, Reason.TOO_LARGE
                 payload = b""
             else:
-                self._charge(session, record, len(payload))
+                self._memory.charge(session, record, len(payload))
         if outcome in (Outcome.ANSWERED, Outcome.FAILED):
             self._ctx.record_latency(record.kind, now_ms - record.started_ms)
         self._close(
@@ -386,7 +331,7 @@
         if record is None:
             return None
         record.deadline_ms = now_ms + params.deadline_ms
-        reason = self._screen(session, params)
+        reason = admission.screen(self._ctx, self._memory, session, params)
         if reason is not None:
             retry_ms = _OVERLOADED_RETRY_MS
             self._close(
@@ -400,25 +345,6 @@
             return None
         return record
 
-    def _screen(self, session: Session, params: caller.Call) -> Reason | None:
-        if self._ctx.leaving:
-            return Reason.LEAVING
-        kind = self._kind(session, params.kind)
-        if (
-            kind is None
-            or kind.mode is model.Mode.FEED
-            or params.part >= params.parts
-        ):
-            return Reason.BAD_REQUEST
-        least = (params.parts - 1) * caller.MAX_PART_BYTES
-        if least + len(params.payload) > kind.max_bytes and (
-            params.parts == 1 or least >= kind.max_bytes
-        ):
-            return Reason.TOO_LARGE
-        if not self._has_room(session, least):
-            return Reason.OVERLOADED
-        return None
-
     def _new_record(
         self,
         now_ms: int,
@@ -432,7 +358,7 @@
     ) -> Record | None:
         # A refusal without a record could be followed by a run of a late
         # copy. Without room for a record the datagram is dropped instead.
-        if not self._has_room(session, RECORD_BYTES):
+        if not self._memory.has_room(session, RECORD_BYTES):
             self._ctx.counters["calls_dropped_memory"] += 1
             return None
         leaving = session.window.admit(seq)
@@ -440,7 +366,7 @@
             self._ctx.counters["calls_dropped_window"] += 1
             return None
         for old in leaving:
-            self._free(session, old.charged)
+            self._memory.free(session, old.charged)
             self._lingering.pop(
                 scheduling.RequestKey(session.ident, old.seq), None
             )
@@ -455,39 +381,9 @@
         )
         session.window.records[seq] = record
         session.in_progress += 1
-        self._charge(session, record, RECORD_BYTES)
+        self._memory.charge(session, record, RECORD_BYTES)
         return record
 
-    def _is_resend(
-        self,
-        source: Address,
-        msgid: int,
-        record: Record,
-        params: caller.Call,
-    ) -> bool:
-        """Tell whether a datagram belongs to the request of a record."""
-        if record.check is None:
-            record.check = params.check
-            record.kind = params.kind
-            record.parts = params.parts
-            return True
-        if record.check != params.check:
-            # The number belongs to another request for good, so this
-            # payload has not been run under it and never will be.
-            self._ctx.counters["seq_reused"] += 1
-            reply = caller.Reply(
-                params.seq, params.check, Outcome.NOT_RUN, Reason.SEQ_REUSED
-            )
-            self._ctx.respond(source, msgid, reply)
-            return False
-        if record.kind != params.kind or record.parts != params.parts:
-            self._ctx.counters["seq_reused"] += 1
-            self.unknown(
-                source, msgid, params.seq, params.check, Reason.SEQ_REUSED
-            )
-            return False
-        return True
-
     def _take_part(
         self,
         now_ms: int,
@@ -503,7 +399,7 @@
                 key = scheduling.RequestKey(session.ident, record.seq)
                 self._partial[key] = record
             if record.received.add(params.part, params.payload):
-                if not self._has_room(session, len(params.payload)):
+                if not self._memory.has_room(session, len(params.payload)):
                     self._close(
                         now_ms,
                         session,
@@ -513,9 +409,9 @@
                         _OVERLOADED_RETRY_MS,
                     )
                     return
-                self._charge(session, record, len(params.payload))
+                self._memory.charge(session, record, len(params.payload))
             if not record.received.complete:
-                self._pending(record, record.received.first_missing)
+                self.replies.pending(record, record.received.first_missing)
                 return
             payload = record.received.join()
         self._submit(now_ms, session, record, payload)
@@ -523,7 +419,7 @@
     def _submit(
         self, now_ms: int, session: Session, record: Record, payload: bytes
     ) -> None:
-        kind = self._kind(session, record.kind)
+        kind = admission.kind_of(self._ctx, session, record.kind)
         if kind is None or caller.payload_check(payload) != record.check:
             self._close(
                 now_ms, session, record, Outcome.NOT_RUN, Reason.BAD_REQUEST
@@ -535,7 +431,7 @@
             )
             return
         if record.parts == 1:
-            self._charge(session, record, len(payload))
+            self._memory.charge(session, record, len(payload))
         key = scheduling.RequestKey(session.ident, record.seq)
         self._partial.pop(key, None)
         record.received = None
@@ -554,13 +450,6 @@
             ),
         )
 
-    def _kind(self, session: Session, name: str) -> model.Kind | None:
-        cfg = self._ctx.config
-        kind = cfg.kinds.get(name) if cfg is not None else None
-        if kind is None or kind.service != session.service:
-            return None
-        return kind
-
     def _close(
         self,
         now_ms: int,
@@ -576,7 +465,7 @@
         self._partial.pop(key, None)
         if record.received is not None:
             record.received = None
-            self._charge(session, record, RECORD_BYTES - record.charged)
+            self._memory.charge(session, record, RECORD_BYTES - record.charged)
         record.phase = Phase.DONE
         record.outcome = outcome
         record.reason = reason
@@ -586,68 +475,12 @@
         session.in_progress -= 1
         self._lingering[key] = record
         self._ctx.counters[f"replies_{outcome.value}"] += 1
-        self._send_parts(now_ms, record, 0)
-
-    def _resend(self, now_ms: int, record: Record) -> None:
-        if (
-            now_ms - record.sent_ms >= RESEND_INTERVAL_MS
-            or parts_lib.count(record.payload) == 1
-        ):
-            self._send_parts(now_ms, record, record.acked_parts)
-
-    def _send_parts(self, now_ms: int, record: Record, first: int) -> None:
-        total = parts_lib.count(record.payload)
-        last = min(total, record.acked_parts + SEND_WINDOW_PARTS)
-        for index in range(first, last):
-            self._ctx.respond(
-                record.source,
-                record.msgid,
-                caller.Reply(
-                    seq=record.seq,
-                    check=record.check or 0,
-                    outcome=record.outcome,
-                    reason=record.reason,
-                    retry_after_ms=record.retry_after_ms,
-                    part=index,
-                    parts=total,
-                    payload=parts_lib.part(record.payload, index),
-                ),
-            )
-        record.sent_parts = max(record.sent_parts, last)
-        record.sent_ms = now_ms
-
-    def _pending(self, record: Record, part: int) -> None:
-        self._ctx.respond(
-            record.source,
-            record.msgid,
-            caller.Reply(
-                seq=record.seq,
-                check=record.check or 0,
-                outcome=Outcome.PENDING,
-                part=part,
-                parts=record.parts,
-            ),
-        )
-
-    def _has_room(self, session: Session, size: int) -> bool:
-        return (
-            session.bytes + size <= MAX_SESSION_BYTES
-            and self._bytes + size <= MAX_NODE_BYTES
-        )
-
-    def _charge(self, session: Session, record: Record, size: int) -> None:
-        record.charged += size
-        session.bytes += size
-        self._bytes += size
-
-    def _free(self, session: Session, size: int) -> None:
-        session.bytes -= size
-        self._bytes -= size
+        self.replies.send(now_ms, record)
 
     def _remove(self, now_ms: int, session: Session) -> None:
         del self._sessions[session.ident]
         del self._opened[session.opened_by]
-        self._bytes -= session.bytes
+        self._memory.release(session)
         for record in session.window.records.values():
             key = scheduling.RequestKey(session.ident, record.seq)
             self._partial.pop(key, None)
