--- a/src/cyclamenridge/caller/session.py
+++ b/src/cyclamenridge/caller/session.py
@@ -22,7 +22,10 @@
 
 
 class Session:
-    """Requests and feeds of one customer at one service."""
+    """Requests and feeds of one customer at one service.
+
+    ``last_token`` is the token under which the newest request was sent.
+    """
 
     def __init__(
         self, client: client_lib.Client, service: str, customer: str
@@ -33,6 +36,7 @@
         self._token: bytes | None = None
         self._next_seq = 0
         self._lock = asyncio.Lock()
+        self.last_token = b""
 
     async def token(self) -> bytes:
         """Return the token, after opening the session if need be."""
@@ -113,6 +117,7 @@
         client = self._client
         self._next_seq += 1
         seq = self._next_seq
+        self.last_token = token
         exchange = exchange_lib.Exchange(
             client.clock.now_ms(),
             token=token,
