--- /dev/null
+++ b/benchmarks/forwarder.py
@@ -0,0 +1,48 @@
+"""Bare asyncio datagram forwarder, the baseline of ``datapath``."""
+
+import asyncio
+from typing import Annotated
+from typing import cast
+
+import typer
+
+from cyclamenridge import address as address_lib
+
+
+class _Forwarder(asyncio.DatagramProtocol):
+    def __init__(self, dest: tuple[str, int]) -> None:
+        self._dest = dest
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        assert self._transport is not None
+        self._transport.sendto(data, self._dest)
+
+
+async def _run(listen: address_lib.Address, dest: address_lib.Address) -> None:
+    loop = asyncio.get_running_loop()
+    await loop.create_datagram_endpoint(
+        lambda: _Forwarder(dest.as_tuple()), local_addr=listen.as_tuple()
+    )
+    print("ready", flush=True)
+    await asyncio.Event().wait()
+
+
+def main(
+    *,
+    listen: Annotated[str, typer.Option(help="HOST:PORT")],
+    dest: Annotated[str, typer.Option(help="HOST:PORT")],
+) -> None:
+    """Send each datagram that arrives to one destination."""
+    asyncio.run(
+        _run(
+            address_lib.Address.parse(listen), address_lib.Address.parse(dest)
+        )
+    )
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,99 @@
+"""Child processes of the demo and of the tests with real processes."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+_POLL_S = 0.02
+
+
+class Processes:
+    """Starts processes and ends exactly those, by their ids."""
+
+    def __init__(self, log_dir: pathlib.Path) -> None:
+        self.log_dir = log_dir
+        self._started: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, name: str, module: str, *arguments: str) -> int:
+        """Start ``python -m module`` and return its process id."""
+        env = dict(os.environ)
+        env["PYTHONPATH"] = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
+        env["PYTHONUNBUFFERED"] = "1"
+        with (self.log_dir / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                cwd=ROOT,
+                env=env,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+        self._started[name] = process
+        return process.pid
+
+    def log(self, name: str) -> str:
+        """Return what a process has printed."""
+        path = self.log_dir / f"{name}.log"
+        return path.read_text(errors="replace")
+
+    def signal(self, name: str, signum: signal.Signals) -> None:
+        """Send a signal to a process that was started here."""
+        self._started[name].send_signal(signum)
+
+    def running(self, name: str) -> bool:
+        """Tell whether a process has not ended."""
+        return self._started[name].poll() is None
+
+    def wait(self, name: str, timeout_s: float) -> int:
+        """Wait for the end of a process and return its exit code."""
+        return self._started[name].wait(timeout_s)
+
+    def wait_for_text(self, name: str, text: str, timeout_s: float) -> None:
+        """Wait until a process has printed a text."""
+        deadline_s = time.monotonic() + timeout_s
+        while time.monotonic() < deadline_s:
+            if text in self.log(name):
+                return
+            if not self.running(name):
+                break
+            time.sleep(_POLL_S)
+        raise RuntimeError(
+            f"{name} did not print {text!r}: {self.log(name)[-500:]}"
+        )
+
+    def stop_all(self, timeout_s: float = 5.0) -> None:
+        """End what still runs; SIGKILL after the timeout."""
+        running = [p for p in self._started.values() if p.poll() is None]
+        for process in running:
+            # A paused process takes no other signal before this one.
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        deadline_s = time.monotonic() + timeout_s
+        for process in running:
+            try:
+                process.wait(max(0.0, deadline_s - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+def free_port(host: str) -> int:
+    """Return a port that is free for TCP and UDP at this moment."""
+    for _ in range(50):
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
+            tcp.bind((host, 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind((host, port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError(f"no free port on {host}")
