--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,152 @@
+"""Run the demo: ``python -m demo``; see docs/demo.md."""
+
+import json
+import pathlib
+import random
+import signal
+import tempfile
+import time
+from typing import Annotated
+
+import msgspec
+import typer
+
+import cyclamenridge.clock as clock_lib
+from demo import account as account_lib
+from demo import deployment as deployment_lib
+
+CALLERS = 3
+KILL_PART = 0.35
+DRAIN_PART = 0.6
+_CALLER_END_S = 25.0
+
+
+class Demo:
+    """One run: start, disturb, stop, account."""
+
+    def __init__(
+        self, directory: pathlib.Path, *, seed: int, seconds: float
+    ) -> None:
+        self._directory = directory
+        self._seed = seed
+        self._seconds = seconds
+        self._rng = random.Random(seed)
+        self._clock = clock_lib.MonotonicClock()
+        self._started_s = time.monotonic()
+        self._deployment = deployment_lib.Deployment(directory, seed=seed)
+
+    def run(self) -> account_lib.Account:
+        """Run the demo and return its account."""
+        try:
+            return self._run()
+        finally:
+            self._deployment.processes.stop_all()
+
+    def _run(self) -> account_lib.Account:
+        dep = self._deployment
+        dep.start_platform()
+        dep.start_servers(**{"cold-ms": "500"})
+        dep.start_balancers()
+        self._say(
+            f"started the platform, {len(dep.servers)} backend servers and "
+            f"{len(dep.balancers)} balancers"
+        )
+        self._say(f"config apply: {dep.apply()}")
+        dep.wait_serving()
+        self._say("all balancers have revision 1 and all links")
+        for number in range(1, CALLERS + 1):
+            self._start_caller(number)
+        begin_s = time.monotonic()
+        self._say(f"{CALLERS} caller processes run feeds and requests")
+        victim = self._rng.choice(dep.balancers)
+        self._sleep_until(begin_s + self._seconds * KILL_PART)
+        killed_ms = self._clock.now_ms()
+        dep.signal(victim.name, signal.SIGKILL)
+        self._say(f"killed balancer {victim.name} ({victim.domain})")
+        server = self._rng.choice(
+            [s for s in dep.servers if s.service == "counter"]
+        )
+        self._sleep_until(begin_s + self._seconds * DRAIN_PART)
+        dep.signal(server.name, signal.SIGUSR1)
+        self._say(f"drained backend server {server.name}")
+        reports = [
+            self._caller_report(number) for number in range(1, CALLERS + 1)
+        ]
+        self._say("all callers are done")
+        records = dep.stop_servers()
+        for record in records:
+            self._say(
+                f"{record.server}: {len(record.runs)} runs, refusals "
+                f"{json.dumps(record.refusals)}"
+            )
+        return account_lib.check(
+            reports,
+            records,
+            killed_owner=str(victim.peer),
+            killed_ms=killed_ms,
+            codec=dep.codec,
+            seed=self._seed,
+            seconds=time.monotonic() - self._started_s,
+        )
+
+    def _start_caller(self, number: int) -> None:
+        dep = self._deployment
+        balancers = [f"--balancer={b.caller}" for b in dep.balancers]
+        dep.processes.start(
+            f"caller-{number}",
+            "demo.callers",
+            f"--name=caller-{number}",
+            f"--customer={deployment_lib.CUSTOMERS[number - 1]}",
+            f"--seed={self._seed}",
+            f"--seconds={self._seconds}",
+            f"--output={self._report_path(number)}",
+            *balancers,
+        )
+
+    def _caller_report(self, number: int) -> account_lib.CallerReport:
+        processes = self._deployment.processes
+        name = f"caller-{number}"
+        code = processes.wait(name, self._seconds + _CALLER_END_S)
+        if code:
+            raise RuntimeError(
+                f"{name} ended with {code}: {processes.log(name)[-800:]}"
+            )
+        return msgspec.json.decode(
+            self._report_path(number).read_bytes(),
+            type=account_lib.CallerReport,
+        )
+
+    def _report_path(self, number: int) -> pathlib.Path:
+        return self._directory / f"caller-{number}.json"
+
+    def _say(self, text: str) -> None:
+        elapsed_s = time.monotonic() - self._started_s
+        typer.echo(f"{elapsed_s:6.2f} s  {text}")
+
+    @staticmethod
+    def _sleep_until(moment_s: float) -> None:
+        time.sleep(max(0.0, moment_s - time.monotonic()))
+
+
+def main(
+    *,
+    seed: Annotated[int, typer.Option(help="Seed of all choices.")] = 1,
+    seconds: Annotated[
+        float, typer.Option(min=6, max=40, help="Time of the work.")
+    ] = 14.0,
+    keep: Annotated[
+        pathlib.Path | None,
+        typer.Option(help="Directory for logs and records; is kept."),
+    ] = None,
+) -> None:
+    """Run the demo and print its account as the last line."""
+    with tempfile.TemporaryDirectory(prefix="cyclamenridge-demo-") as temp:
+        directory = keep or pathlib.Path(temp)
+        directory.mkdir(parents=True, exist_ok=True)
+        account = Demo(directory, seed=seed, seconds=seconds).run()
+    typer.echo(msgspec.json.encode(account).decode())
+    raise typer.Exit(0 if account.ok else 1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/demo/deployment.py
@@ -0,0 +1,326 @@
+"""A small deployment on loopback: platform, servers and balancers."""
+
+import dataclasses
+import json
+import pathlib
+import secrets
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+import msgspec
+import yaml
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.wire import token as token_lib
+from demo import processes as processes_lib
+from tests.standins import server as server_lib
+
+DOMAINS = ("qld-bne", "qld-tsv", "qld-cns", "qld-too")
+CUSTOMERS = ("arrowtail-fitters", "brigalow-doors", "coolabah-lifts")
+START_TIMEOUT_S = 15.0
+_POLL_S = 0.05
+
+Address = address_lib.Address
+
+
+@dataclasses.dataclass(frozen=True)
+class Balancer:
+    """A balancer of the deployment."""
+
+    name: str
+    domain: str
+    caller: Address
+    peer: Address
+    admin: Address
+
+
+@dataclasses.dataclass(frozen=True)
+class Server:
+    """A backend server of the deployment."""
+
+    service: str
+    name: str
+    domain: str
+    address: Address
+
+
+class Deployment:
+    """Processes and files of a deployment.
+
+    :param directory: for configuration, settings, logs and run records
+    """
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        *,
+        seed: int = 1,
+        balancers: int = 4,
+        servers: dict[str, int] | None = None,
+        event_interval_ms: int = 200,
+        stop_ms: int = 10_000,
+    ) -> None:
+        self.directory = directory
+        self.processes = processes_lib.Processes(directory)
+        self.seed = seed
+        self.stop_ms = stop_ms
+        self.key = secrets.token_bytes(32)
+        self.codec = token_lib.TokenCodec((self.key,))
+        self.event_interval_ms = event_interval_ms
+        self.store_url = ""
+        self.control_url = ""
+        self.balancers = tuple(
+            _balancer(number) for number in range(1, balancers + 1)
+        )
+        self.servers = tuple(
+            _server(service, number)
+            for service, count in (
+                servers or {"counter": 4, "workshop": 3}
+            ).items()
+            for number in range(1, count + 1)
+        )
+
+    def start_platform(self) -> None:
+        """Start the store and list the instances in it."""
+        port = processes_lib.free_port("127.0.0.1")
+        self.processes.start(
+            "platform",
+            "tests.standins.platform",
+            "--listen",
+            f"127.0.0.1:{port}",
+        )
+        self.processes.wait_for_text("platform", "\n", START_TIMEOUT_S)
+        line = self.processes.log("platform").splitlines()[0]
+        self.store_url, self.control_url = line.split()
+        for balancer in self.balancers:
+            self.list_instance(
+                balancer.name, balancer.peer, balancer.domain, "balancer"
+            )
+        for server in self.servers:
+            self.list_instance(
+                server.name, server.address, server.domain, server.service
+            )
+
+    def list_instance(
+        self,
+        name: str,
+        address: Address,
+        domain: str,
+        role: str,
+        state: str = "live",
+    ) -> None:
+        """Write an entry of the platform's instance list."""
+        value = {
+            "address": str(address),
+            "domain": domain,
+            "role": role,
+            "state": state,
+        }
+        post(f"{self.control_url}/instance", {"name": name, "value": value})
+
+    def start_servers(self, **options: str) -> None:
+        """Start the backend servers and wait until they listen."""
+        for server in self.servers:
+            self.start_server(server, **options)
+        for server in self.servers:
+            self.processes.wait_for_text(server.name, "ready", START_TIMEOUT_S)
+
+    def start_server(self, server: Server, **options: str) -> None:
+        """Start one backend server."""
+        arguments = {
+            "service": server.service,
+            "server": server.name,
+            "listen": str(server.address),
+            "event-interval-ms": str(self.event_interval_ms),
+            "seed": str(self.seed),
+            "records": str(self.directory / f"{server.name}.json"),
+            **options,
+        }
+        self.processes.start(
+            server.name,
+            "tests.standins.server",
+            *(f"--{key}={value}" for key, value in arguments.items()),
+        )
+
+    def start_balancers(self) -> None:
+        """Start all balancers."""
+        for balancer in self.balancers:
+            self.start_balancer(balancer)
+
+    def start_balancer(self, balancer: Balancer) -> None:
+        """Start one balancer."""
+        path = self.directory / f"{balancer.name}.yaml"
+        path.write_text(yaml.safe_dump(self.settings(balancer)))
+        self.processes.start(
+            balancer.name, "cyclamenridge", "balancer", "--settings", str(path)
+        )
+
+    def settings(self, balancer: Balancer) -> dict[str, object]:
+        """Return the settings of a balancer."""
+        return {
+            "name": balancer.name,
+            "failure_domain": balancer.domain,
+            "caller_address": str(balancer.caller),
+            "peer_address": str(balancer.peer),
+            "admin_address": str(balancer.admin),
+            "seeds": [
+                str(other.peer)
+                for other in self.balancers
+                if other is not balancer
+            ],
+            "store": [self.store_url],
+            "keys": [self.key.hex()],
+            "stop_deadline_ms": self.stop_ms,
+        }
+
+    def config(self) -> dict[str, object]:
+        """Return the configuration of the deployment."""
+        services: dict[str, dict] = {}
+        for server in self.servers:
+            service = services.setdefault(server.service, {"servers": {}})
+            service["servers"][server.name] = {
+                "address": str(server.address),
+                "failure_domain": server.domain,
+                "slots": 2,
+                "connections": 2000,
+            }
+            service["slow_start_ms"] = 0
+        kinds = {
+            "door": ("counter", "feed", {}),
+            "bench": ("workshop", "feed", {}),
+            "setting": ("counter", "request", {}),
+            "status": ("counter", "request", {"idempotent": True}),
+            "setting-batch": ("workshop", "request", {"max_bytes": 10_000}),
+            "dump": (
+                "workshop",
+                "bulk",
+                {"max_bytes": 1_000_000, "deadline_ms": 30_000},
+            ),
+        }
+        return {
+            "deployment": "demo",
+            "failure_domains": {
+                domain: {
+                    "region": "queensland",
+                    "networks": [f"127.0.0.{10 + number}/32"],
+                }
+                for number, domain in enumerate(DOMAINS, 1)
+            },
+            "services": services,
+            "precedence": list(kinds),
+            "kinds": {
+                kind: {"service": service, "mode": mode, **more}
+                for kind, (service, mode, more) in kinds.items()
+            },
+            "customers": {name: {"share": 1} for name in CUSTOMERS},
+        }
+
+    def apply(self) -> str:
+        """Apply the configuration through the command line."""
+        path = self.directory / "config.yaml"
+        path.write_text(yaml.safe_dump(self.config(), sort_keys=False))
+        return self.command(
+            "config", "apply", str(path), "--store", self.store_url
+        )
+
+    def command(self, *arguments: str) -> str:
+        """Run a command of the program and return what it printed."""
+        done = subprocess.run(
+            [sys.executable, "-m", "cyclamenridge", *arguments],
+            cwd=processes_lib.ROOT,
+            env=processes_lib.environment(),
+            capture_output=True,
+            text=True,
+            timeout=START_TIMEOUT_S,
+            check=False,
+        )
+        if done.returncode:
+            raise RuntimeError(
+                f"cyclamenridge {' '.join(arguments)} ended with "
+                f"{done.returncode}: {done.stderr.strip()}"
+            )
+        return done.stdout.strip()
+
+    def status(self, balancer: Balancer) -> dict | None:
+        """Return the status of a balancer, or None without an answer."""
+        try:
+            with urllib.request.urlopen(
+                f"http://{balancer.admin}/status", timeout=1
+            ) as answer:
+                return json.load(answer)
+        except (OSError, urllib.error.URLError, ValueError):
+            return None
+
+    def wait_serving(
+        self, revision: int = 1, timeout_s: float = START_TIMEOUT_S
+    ) -> None:
+        """Wait until all balancers have a revision and all links."""
+        deadline_s = time.monotonic() + timeout_s
+        links = len(self.servers)
+        for balancer in self.balancers:
+            while True:
+                status = self.status(balancer) or {}
+                if (
+                    status.get("revision", 0) >= revision
+                    and status.get("links_up", 0) >= links
+                    and status.get("members", 0) >= len(self.balancers)
+                ):
+                    break
+                if time.monotonic() > deadline_s:
+                    raise RuntimeError(
+                        f"{balancer.name} does not serve: {status}; "
+                        + self.processes.log(balancer.name)[-800:]
+                    )
+                time.sleep(_POLL_S)
+
+    def signal(self, name: str, signum: signal.Signals) -> None:
+        """Send a signal to a process of the deployment."""
+        self.processes.signal(name, signum)
+
+    def stop_servers(self) -> list[server_lib.RunRecords]:
+        """Stop the servers and return their run records."""
+        records = []
+        for server in self.servers:
+            if self.processes.running(server.name):
+                self.signal(server.name, signal.SIGTERM)
+        for server in self.servers:
+            self.processes.wait(server.name, 5)
+            path = self.directory / f"{server.name}.json"
+            records.append(
+                msgspec.json.decode(
+                    path.read_bytes(), type=server_lib.RunRecords
+                )
+            )
+        return records
+
+
+def post(url: str, body: dict) -> None:
+    """Send JSON with POST and check that it was accepted."""
+    request = urllib.request.Request(
+        url, data=json.dumps(body).encode(), method="POST"
+    )
+    with urllib.request.urlopen(request, timeout=5):
+        pass
+
+
+def _balancer(number: int) -> Balancer:
+    host = f"127.0.0.{10 + number}"
+    return Balancer(
+        f"b{number}",
+        DOMAINS[number - 1],
+        *(Address(host, processes_lib.free_port(host)) for _ in range(3)),
+    )
+
+
+def _server(service: str, number: int) -> Server:
+    host = f"127.0.0.{20 + number}"
+    return Server(
+        service,
+        f"{service}-{number}",
+        DOMAINS[(number - 1) % len(DOMAINS)],
+        Address(host, processes_lib.free_port(host)),
+    )
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -12,6 +12,14 @@
 _POLL_S = 0.02
 
 
+def environment() -> dict[str, str]:
+    """Return the environment in which the processes find this checkout."""
+    env = dict(os.environ)
+    env["PYTHONPATH"] = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
+    env["PYTHONUNBUFFERED"] = "1"
+    return env
+
+
 class Processes:
     """Starts processes and ends exactly those, by their ids."""
 
@@ -21,14 +29,11 @@
 
     def start(self, name: str, module: str, *arguments: str) -> int:
         """Start ``python -m module`` and return its process id."""
-        env = dict(os.environ)
-        env["PYTHONPATH"] = f"{ROOT / 'src'}{os.pathsep}{ROOT}"
-        env["PYTHONUNBUFFERED"] = "1"
         with (self.log_dir / f"{name}.log").open("ab") as log:
             process = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
                 cwd=ROOT,
-                env=env,
+                env=environment(),
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
--- a/src/cyclamenridge/adapters/store_platform.py
+++ b/src/cyclamenridge/adapters/store_platform.py
@@ -8,6 +8,7 @@
 import random
 from typing import Any
 
+from cyclamenridge.adapters import instances
 import cyclamenridge.config.document as document_lib
 import cyclamenridge.errors as errors
 from cyclamenridge.node import effects
@@ -24,10 +25,8 @@
     """Keys and values as the platform stores them."""
 
     config_key: str
-    instances_prefix: str
     decode_document: Callable[[bytes], document_lib.Document]
     encode_document: Callable[[document_lib.Document], bytes]
-    decode_instance: Callable[[str, bytes], events.ListedInstance]
 
 
 class StorePlatform(platform.Platform):
@@ -166,29 +165,24 @@
                 self._emit_document(change.value, change.mod_revision)
 
     async def _follow_instances(self) -> None:
-        prefix = self._format.instances_prefix
-        got = await self._store.range(prefix)
-        entries = {entry.key: entry.value for entry in got.entries}
+        got = await self._store.range(instances.PREFIX)
+        entries = {entry.key: entry for entry in got.entries}
         self._emit_instances(entries)
         watch = self._store.watch(
-            prefix, start_revision=got.revision + 1, prefix=True
+            instances.PREFIX, start_revision=got.revision + 1, prefix=True
         )
         async for batch in watch:
             for change in batch.changes:
                 if change.value is None:
                     entries.pop(change.key, None)
                 else:
-                    entries[change.key] = change.value
+                    entries[change.key] = store_port.KeyValue(
+                        change.key, change.value, change.mod_revision
+                    )
             if batch.changes:
                 self._emit_instances(entries)
 
-    def _emit_instances(self, entries: dict[str, bytes]) -> None:
-        listed = []
-        for key, value in sorted(entries.items()):
-            name = key.removeprefix(self._format.instances_prefix)
-            try:
-                listed.append(self._format.decode_instance(name, value))
-            except errors.CyclamenridgeError:
-                # One bad entry must not hide the other instances.
-                self._counters["instances_malformed"] += 1
-        self._emit(events.InstancesListed(tuple(listed)))
+    def _emit_instances(self, entries: dict[str, store_port.KeyValue]) -> None:
+        listed = instances.decode(entries.values())
+        self._counters["instances_malformed"] += listed.refused
+        self._emit(events.InstancesListed(listed.instances))
