Measure broken feeds of whole balancer cores with routing tokens

Cause: the affinity experiment compared only mechanisms for packets that carry addresses and ports; the path that callers use was not in it. Change: policy routing-token runs five NodeCores against server models with 100 feeds through the same ten scenarios.

--- a/benchmarks/affinity.py
+++ b/benchmarks/affinity.py
@@ -13,6 +13,7 @@
 import struct
 
 from benchmarks import affinity_nodes
+from benchmarks import affinity_token
 from benchmarks import record
 
 BALANCERS = ("b1", "b2", "b3", "b4", "b5")
@@ -366,6 +367,7 @@
                 prepare(experiment)
                 experiment.run()
                 yield from _records(name, scenario, seed, experiment)
+        yield from affinity_token.run(seed)
 
 
 def _records(
