--- a/src/cyclamenridge/adapters/etcd.py
+++ b/src/cyclamenridge/adapters/etcd.py
@@ -396,6 +396,8 @@
 
 
 def _reason(exc: Exception | None) -> str:
+    if isinstance(exc, aiohttp.ClientConnectorError):
+        return f"cannot connect to {exc.host}:{exc.port}"
     text = " ".join(str(exc).split())
     return text or type(exc).__name__
 
--- a/src/cyclamenridge/config/document.py
+++ b/src/cyclamenridge/config/document.py
@@ -1,6 +1,30 @@
 """A configuration together with its revision, as kept in the store."""
 
 import dataclasses
+import hashlib
+import re
+
+import msgspec
+
+from cyclamenridge import errors
+
+# Long enough for an operator whose answer was lost to find the own apply id
+# after others have applied theirs.
+HISTORY_LENGTH = 32
+# The platform accepts values of up to 1 MB.
+MAX_ENCODED_BYTES = 1_000_000
+
+_DIGEST_BYTES = 16
+_MAX_REVISION = 2**63 - 1
+_APPLY_ID = re.compile(r"[a-z0-9-]{1,64}")
+
+
+class DocumentError(errors.ConfigError):
+    """Bytes of the store that are not a valid document."""
+
+
+class BodyTooLongError(errors.ConfigError):
+    """A body whose document the store would not take."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,3 +43,88 @@
     apply_id: str
     history: tuple[tuple[int, str], ...]
     body: str
+
+
+def digest(body: str) -> str:
+    """Return the digest of a body."""
+    return hashlib.blake2b(
+        body.encode(), digest_size=_DIGEST_BYTES
+    ).hexdigest()
+
+
+def successor(
+    previous: Document | None, *, body: str, apply_id: str
+) -> Document:
+    """Return the document that follows ``previous``; the first is 1."""
+    if previous is None:
+        return Document(1, digest(body), apply_id, (), body)
+    history = ((previous.revision, previous.apply_id), *previous.history)
+    return Document(
+        previous.revision + 1,
+        digest(body),
+        apply_id,
+        history[:HISTORY_LENGTH],
+        body,
+    )
+
+
+def apply_id_at(document: Document, revision: int) -> str | None:
+    """Return the apply id of a revision, None when it is not recorded."""
+    if revision == document.revision:
+        return document.apply_id
+    return dict(document.history).get(revision)
+
+
+def revision_of(document: Document, apply_id: str) -> int | None:
+    """Return the revision that an apply operation wrote, if recorded."""
+    if apply_id == document.apply_id:
+        return document.revision
+    for revision, recorded in document.history:
+        if recorded == apply_id:
+            return revision
+    return None
+
+
+def encode(document: Document) -> bytes:
+    """Return the bytes for the store.
+
+    :raises BodyTooLongError: when the store would not take them
+    """
+    data = msgspec.json.encode(document)
+    if len(data) > MAX_ENCODED_BYTES:
+        raise BodyTooLongError(
+            f"the encoded document has {len(data)} bytes; allowed: at most "
+            f"{MAX_ENCODED_BYTES}"
+        )
+    return data
+
+
+def decode(data: bytes) -> Document:
+    """Read the bytes of the store.
+
+    :raises DocumentError: when they are not a valid document
+    """
+    try:
+        document = msgspec.json.decode(data, type=Document)
+        valid = digest(document.body) == document.digest
+    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+        raise DocumentError(f"the document is not valid: {exc}") from exc
+    if not valid:
+        raise DocumentError("the digest of the document does not fit its body")
+    if not 1 <= document.revision <= _MAX_REVISION:
+        raise DocumentError(f"revision {document.revision} is out of range")
+    _check_history(document)
+    return document
+
+
+def _check_history(document: Document) -> None:
+    if len(document.history) > HISTORY_LENGTH:
+        raise DocumentError("the history of the document is too long")
+    newer = document.revision
+    for revision, _ in document.history:
+        if not 1 <= revision < newer:
+            raise DocumentError("the history of the document has no order")
+        newer = revision
+    for apply_id in (document.apply_id, *dict(document.history).values()):
+        if not _APPLY_ID.fullmatch(apply_id):
+            raise DocumentError("an apply id of the document is not valid")
