--- a/src/cyclamenridge/cli/config.py
+++ b/src/cyclamenridge/cli/config.py
@@ -17,7 +17,7 @@
 import typer
 
 from cyclamenridge.adapters import etcd
-from cyclamenridge import clock as clock_lib
+import cyclamenridge.clock as clock_lib
 from cyclamenridge.config import diff
 from cyclamenridge.config import document as document_lib
 from cyclamenridge.config import findings as findings_lib
@@ -217,10 +217,7 @@
     :raises InvalidConfigError: with all findings
     """
     name = str(path)
-    if name == "-":
-        data = sys.stdin.buffer.read()
-    else:
-        data = path.read_bytes()
+    data = sys.stdin.buffer.read() if name == "-" else path.read_bytes()
     try:
         text = data.decode()
     except UnicodeError as exc:
--- a/src/cyclamenridge/run.py
+++ b/src/cyclamenridge/run.py
@@ -4,6 +4,7 @@
 
 import typer
 
+from cyclamenridge.cli import call
 from cyclamenridge.cli import config
 
 app = typer.Typer(
@@ -28,6 +29,9 @@
     typer.echo(metadata.version("cyclamenridge"))
 
 
+app.command()(call.call)
+
+
 def main() -> None:
     """Run the command line."""
     app()
