Add settings of a balancer process

Cause: a process is told its name, addresses, store, seeds and keys by a YAML file.

Change: config/settings.py reads it with the same error style as the configuration: load(path) and parse(text). Keys are 16 to 64 bytes in hexadecimal, listed or one a line in key_file; errors and repr never show them. The rule for endpoints of the store moved here from adapters/etcd.py.

--- a/src/cyclamenridge/adapters/etcd.py
+++ b/src/cyclamenridge/adapters/etcd.py
@@ -7,9 +7,9 @@
 
 import aiohttp
 import msgspec
-import yarl
 
 from cyclamenridge.adapters import etcd_messages as messages
+from cyclamenridge.config import settings
 import cyclamenridge.errors as errors
 from cyclamenridge.ports import store
 
@@ -337,17 +337,11 @@
 
     :raises ConfigError: when it is not the URL of a host
     """
-    try:
-        url = yarl.URL(text)
-        usable = url.scheme in ("http", "https") and bool(url.host)
-        usable = usable and url.path == "/" and not url.query_string
-    except ValueError:
-        usable = False
-    if not usable:
+    if not settings.is_endpoint(text):
         raise errors.ConfigError(
             f"{text!r} is not a URL such as http://127.0.0.1:2379"
         )
-    return str(url).rstrip("/")
+    return text.rstrip("/")
 
 
 def _encode(data: bytes) -> str:
--- a/src/cyclamenridge/config/findings.py
+++ b/src/cyclamenridge/config/findings.py
@@ -57,3 +57,21 @@
     if len(text) > _SHOWN_CHARS:
         text = text[: _SHOWN_CHARS - 3] + "..."
     return text
+
+
+def once(
+    found: list[Finding],
+) -> tuple[Finding, ...]:
+    """Drop what the schema says about values that YAML could not read.
+
+    Such a value is null in the data and has a finding of its own already.
+    """
+    reported: set[tuple[int, str]] = set()
+    unique = []
+    for item in found:
+        place = (item.line, item.key)
+        if item.found == NOTHING and place in reported:
+            continue
+        reported.add(place)
+        unique.append(item)
+    return tuple(dict.fromkeys(unique))
--- a/src/cyclamenridge/config/loader.py
+++ b/src/cyclamenridge/config/loader.py
@@ -71,7 +71,7 @@
     found.extend(schema_findings)
     found.extend(references.check(content))
     if config is None or found:
-        raise findings_lib.InvalidConfigError(_once(found))
+        raise findings_lib.InvalidConfigError(findings_lib.once(found))
     return ConfigFile(config, body, based_on)
 
 
@@ -106,21 +106,3 @@
     lines = text.splitlines(keepends=True)
     del lines[key.start_mark.line]
     return "".join(lines)
-
-
-def _once(
-    found: list[findings_lib.Finding],
-) -> tuple[findings_lib.Finding, ...]:
-    """Drop what the schema says about values that YAML could not read.
-
-    Such a value is null in the data and has a finding of its own already.
-    """
-    reported: set[tuple[int, str]] = set()
-    unique = []
-    for item in found:
-        place = (item.line, item.key)
-        if item.found == findings_lib.NOTHING and place in reported:
-            continue
-        reported.add(place)
-        unique.append(item)
-    return tuple(dict.fromkeys(unique))
--- /dev/null
+++ b/src/cyclamenridge/config/settings.py
@@ -0,0 +1,242 @@
+"""Settings of one balancer process, from YAML."""
+
+from collections.abc import Iterator
+import dataclasses
+import ipaddress
+import pathlib
+from typing import Annotated
+
+import pydantic
+from pydantic import dataclasses as pydantic_dataclasses
+import yarl
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.config import findings as findings_lib
+from cyclamenridge.config import marked_yaml
+from cyclamenridge.config import model
+from cyclamenridge.config import schema
+import cyclamenridge.errors as errors
+
+DEFAULT_STOP_DEADLINE_MS = 30_000
+MAX_STOP_DEADLINE_MS = 3_600_000
+MIN_KEY_BYTES = 16
+# BLAKE2b takes keys of up to 64 bytes.
+MAX_KEY_BYTES = 64
+
+_ADDRESS_RULE = "an IPv4 address with a port from 1 to 65535"
+_KEY_RULE = f"{MIN_KEY_BYTES} to {MAX_KEY_BYTES} bytes in hexadecimal"
+_ADDRESS_KEYS = ("caller_address", "peer_address", "admin_address")
+_HIDDEN = "a value that is not shown"
+_NO_KEY = "no key"
+_OPEN = (_NO_KEY, findings_lib.NOTHING)
+
+Findings = Iterator[findings_lib.Finding]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """Settings of one process.
+
+    :param store: endpoints of the platform's store
+    :param seeds: peer addresses that are asked at the start
+    :param keys: the first signs, all are accepted
+    """
+
+    name: str
+    failure_domain: str
+    caller_address: address_lib.Address
+    peer_address: address_lib.Address
+    admin_address: address_lib.Address
+    store: tuple[str, ...]
+    keys: tuple[bytes, ...] = dataclasses.field(repr=False)
+    seeds: tuple[address_lib.Address, ...] = ()
+    stop_deadline_ms: int = DEFAULT_STOP_DEADLINE_MS
+
+
+@pydantic_dataclasses.dataclass(
+    frozen=True, config=pydantic.ConfigDict(extra="forbid")
+)
+class _Raw:
+    name: model.Name
+    failure_domain: model.Name
+    caller_address: str
+    peer_address: str
+    admin_address: str
+    store: tuple[str, ...]
+    seeds: tuple[str, ...] = ()
+    keys: tuple[str, ...] = ()
+    key_file: str = ""
+    stop_deadline_ms: Annotated[
+        int, pydantic.Field(ge=0, le=MAX_STOP_DEADLINE_MS)
+    ] = DEFAULT_STOP_DEADLINE_MS
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Read a settings file.
+
+    :raises InvalidConfigError: with all findings
+    """
+    source = str(path)
+    try:
+        text = path.read_bytes().decode()
+    except (OSError, UnicodeError) as exc:
+        found = findings_lib.Finding(
+            source, 1, "", f"a file that cannot be read, {exc}", "UTF-8 text"
+        )
+        raise findings_lib.InvalidConfigError((found,)) from exc
+    return parse(text, source=source, directory=path.parent)
+
+
+def parse(
+    text: str,
+    *,
+    source: str = "<settings>",
+    directory: pathlib.Path = pathlib.Path(),
+) -> Settings:
+    """Check settings as a whole.
+
+    :param directory: where a relative ``key_file`` is
+    :raises InvalidConfigError: with all findings
+    """
+    content = marked_yaml.load(text, source=source)
+    raw, found = schema.check(_Raw, content, content.data)
+    all_found = [*content.findings, *found, *_addresses(content)]
+    all_found.extend(_endpoints(content))
+    keys, key_findings = _keys(content, directory)
+    all_found.extend(key_findings)
+    if raw is None or all_found:
+        raise findings_lib.InvalidConfigError(
+            findings_lib.once([_without_secrets(item) for item in all_found])
+        )
+    parse_address = address_lib.Address.parse
+    return Settings(
+        name=raw.name,
+        failure_domain=raw.failure_domain,
+        caller_address=parse_address(raw.caller_address),
+        peer_address=parse_address(raw.peer_address),
+        admin_address=parse_address(raw.admin_address),
+        store=raw.store,
+        keys=keys,
+        seeds=tuple(parse_address(seed) for seed in raw.seeds),
+        stop_deadline_ms=raw.stop_deadline_ms,
+    )
+
+
+def _strings(value: object) -> list[tuple[int, str]]:
+    items = value if isinstance(value, list) else []
+    return [(i, item) for i, item in enumerate(items) if isinstance(item, str)]
+
+
+def _addresses(content: marked_yaml.MarkedYaml) -> Findings:
+    paths: list[tuple[marked_yaml.Path, str]] = [
+        ((key,), text)
+        for key in _ADDRESS_KEYS
+        if isinstance(text := content.data.get(key), str)
+    ]
+    for index, text in _strings(content.data.get("seeds")):
+        paths.append((("seeds", index), text))
+    used: dict[address_lib.Address, str] = {}
+    for path, text in paths:
+        try:
+            address = address_lib.Address.parse(text)
+        except errors.ConfigError:
+            yield content.finding(
+                path, findings_lib.shown(text), _ADDRESS_RULE
+            )
+            continue
+        key = path[0]
+        if key not in _ADDRESS_KEYS:
+            continue
+        first = used.setdefault(address, str(key))
+        if first != key:
+            yield content.finding(
+                path, f"{text} again after {first}", "each address once"
+            )
+        if (
+            key == "peer_address"
+            and ipaddress.IPv4Address(address.host).is_unspecified
+        ):
+            yield content.finding(
+                path, text, "the address at which peers reach this process"
+            )
+
+
+def _endpoints(content: marked_yaml.MarkedYaml) -> Findings:
+    endpoints = content.data.get("store")
+    if endpoints == []:
+        yield content.finding(
+            ("store",), "an empty list", "at least one endpoint"
+        )
+    for index, text in _strings(endpoints):
+        if not is_endpoint(text):
+            yield content.finding(
+                ("store", index),
+                findings_lib.shown(text),
+                "a URL such as http://127.0.0.1:2379",
+            )
+
+
+def is_endpoint(text: str) -> bool:
+    """Tell whether a text is the URL of an endpoint of the store."""
+    try:
+        url = yarl.URL(text)
+        return (
+            url.scheme in ("http", "https")
+            and bool(url.host)
+            and url.user is None
+            and url.port is not None
+            and url.path == "/"
+            and not url.query_string
+        )
+    except ValueError:
+        return False
+
+
+def _keys(
+    content: marked_yaml.MarkedYaml, directory: pathlib.Path
+) -> tuple[tuple[bytes, ...], list[findings_lib.Finding]]:
+    listed, key_file = content.data.get("keys"), content.data.get("key_file")
+    if (listed is None) == (key_file is None):
+        found = "neither" if listed is None else "both"
+        return (), [content.finding((), found, "one of keys and key_file")]
+    path: marked_yaml.Path = ("keys",)
+    texts = _strings(listed)
+    if key_file is not None:
+        path = ("key_file",)
+        if not isinstance(key_file, str):
+            return (), []
+        try:
+            lines = (directory / key_file).read_text().split()
+        except (OSError, ValueError) as exc:
+            return (), [
+                content.finding(
+                    path, f"a file that cannot be read, {exc}", "a key a line"
+                )
+            ]
+        texts = list(enumerate(lines))
+    keys = tuple(_key(text) for _, text in texts)
+    findings = [
+        content.finding((*path, index), f"{len(text)} characters", _KEY_RULE)
+        for (index, text), key in zip(texts, keys, strict=True)
+        if key is None
+    ]
+    if not keys and (listed == [] or key_file is not None):
+        findings.append(content.finding(path, _NO_KEY, "at least one key"))
+    return tuple(key for key in keys if key is not None), findings
+
+
+def _key(text: str) -> bytes | None:
+    try:
+        key = bytes.fromhex(text)
+    except ValueError:
+        return None
+    return key if MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES else None
+
+
+def _without_secrets(finding: findings_lib.Finding) -> findings_lib.Finding:
+    """Hide the value of a key, which may be printed and logged."""
+    if finding.key.split(".")[0] != "keys":
+        return finding
+    if finding.found in _OPEN or finding.found.endswith(" characters"):
+        return finding
+    return dataclasses.replace(finding, found=_HIDDEN)
--- /dev/null
+++ b/tests/config/test_settings.py
@@ -0,0 +1,116 @@
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cyclamenridge import address
+from cyclamenridge.config import findings
+from cyclamenridge.config import settings
+import cyclamenridge.errors as errors
+from tests.config import test_loader
+
+KEY = "0123456789abcdef" * 2
+VALID = f"""\
+name: balancer-1
+failure_domain: qld-bne
+caller_address: 127.0.1.1:7001
+peer_address: 127.0.1.1:7002
+admin_address: 127.0.1.1:7003
+store: ["http://127.0.0.1:2379"]
+seeds: [127.0.2.1:7002]
+keys: [{KEY}]
+"""
+
+
+def problems(text):
+    with pytest.raises(findings.InvalidConfigError) as caught:
+        settings.parse(text)
+    return [(f.line, f.key, f.allowed) for f in caught.value.findings]
+
+
+def test_settings_are_read_with_their_defaults():
+    read = settings.parse(VALID)
+    assert read.peer_address == address.Address("127.0.1.1", 7002)
+    assert read.seeds == (address.Address("127.0.2.1", 7002),)
+    assert read.keys == (bytes.fromhex(KEY),)
+    assert read.store == ("http://127.0.0.1:2379",)
+    assert read.stop_deadline_ms == 30_000
+    assert KEY[:8] not in repr(read) and "#Eg" not in repr(read)
+
+
+def test_keys_may_be_in_a_file_beside_the_settings(tmp_path):
+    (tmp_path / "keys").write_text(f"{KEY}\n{KEY[::-1]}\n")
+    path = tmp_path / "settings.yaml"
+    path.write_text(VALID.replace(f"keys: [{KEY}]", "key_file: keys"))
+    read = settings.load(path)
+    assert read.keys == (bytes.fromhex(KEY), bytes.fromhex(KEY[::-1]))
+    (tmp_path / "keys").write_text(f"{KEY}\nabcd\n")
+    with pytest.raises(findings.InvalidConfigError, match="4 characters"):
+        settings.load(path)
+    (tmp_path / "keys").unlink()
+    with pytest.raises(findings.InvalidConfigError, match="cannot be read"):
+        settings.load(path)
+    with pytest.raises(findings.InvalidConfigError, match="cannot be read"):
+        settings.load(tmp_path / "none.yaml")
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "line", "key", "allowed"),
+    [
+        ("balancer-1", "Balancer 1", 1, "name", "a name"),
+        ("127.0.1.1:7002", "0.0.0.0:7002", 4, "peer_address", "reach"),
+        ("127.0.1.1:7002", "127.0.1.1:7001", 4, "peer_address", "once"),
+        ("127.0.1.1:7003", "host:7003", 5, "admin_address", "IPv4"),
+        ("admin_address", "admin", 5, "admin", "name, failure_domain"),
+        ("http://", "ftp://", 6, "store.0", "URL"),
+        ('["http://127.0.0.1:2379"]', "[]", 6, "store", "at least one"),
+        ("127.0.2.1:7002]", "127.0.2.1]", 7, "seeds.0", "IPv4"),
+        (f"[{KEY}]", "[]", 8, "keys", "at least one key"),
+        (KEY, KEY[:30], 8, "keys.0", "16 to 64 bytes"),
+        (KEY, KEY * 5, 8, "keys.0", "16 to 64 bytes"),
+        (KEY, "x" + KEY[1:], 8, "keys.0", "16 to 64 bytes"),
+        ("seeds:", "key_file: a\nseeds:", 1, "", "one of keys and key_file"),
+        ("keys:", "stop_deadline_ms: -1\nkeys:", 8, "stop_deadline_ms", "0"),
+        (f"keys: [{KEY}]\n", "", 1, "", "one of keys and key_file"),
+    ],
+)
+def test_error_is_told_with_line_key_and_what_is_allowed(
+    old, new, line, key, allowed
+):
+    assert old in VALID
+    told = problems(VALID.replace(old, new, 1))
+    matching = [x for x in told if x[:2] == (line, key) and allowed in x[2]]
+    assert len(matching) == 1, told
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        "[11111111111111111111111111111111]",
+        "11111111111111111111111111111111",
+        "[secret-0]",
+        "secret-0",
+        "[[secret-0]]",
+        "{secret-0: 1}",
+        '["secret-0\\n"]',
+        "[secret-0, secret-0]",
+    ],
+)
+def test_errors_never_show_a_key(value):
+    """Guards against keys in logs and terminals."""
+    with pytest.raises(findings.InvalidConfigError) as caught:
+        settings.parse(VALID.replace(f"[{KEY}]", value))
+    assert "secret-0" not in str(caught.value)
+    assert "11111" not in str(caught.value)
+
+
+@hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+@hypothesis.given(strategies.data())
+def test_damaged_settings_raise_only_config_errors(data):
+    start = data.draw(strategies.integers(0, len(VALID) - 1))
+    length = data.draw(strategies.integers(0, 30))
+    inserted = data.draw(test_loader.DOCUMENTS)
+    text = VALID[:start] + inserted + VALID[start + length :]
+    try:
+        assert settings.parse(text).keys
+    except errors.ConfigError as exc:
+        assert isinstance(exc, findings.InvalidConfigError)
