--- a/src/cyclamenridge/app.py
+++ b/src/cyclamenridge/app.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 from collections.abc import Callable
-from collections.abc import Sequence
 import signal
 from typing import Any
 from typing import Protocol
@@ -72,7 +71,6 @@
         peers: datagrams.Datagrams,
         links: links_port.Links,
         platform: platform_port.Platform,
-        components: Sequence[component.Component] = (),
         stop_ms: int = DEFAULT_STOP_MS,
     ) -> None:
         self.core = core
@@ -82,7 +80,7 @@
         self._peers = peers
         self._links = links
         self._platform = platform
-        self._components = tuple(components)
+        self._components: list[component.Component] = []
         self._stop_ms = stop_ms
         self._signals = 0
         self._ticker: asyncio.Task[None] | None = None
@@ -109,6 +107,10 @@
             effects.Stopped: self._stopped,
         }
 
+    def add_component(self, item: component.Component) -> None:
+        """Start and stop another part together with the application."""
+        self._components.append(item)
+
     async def run(self) -> int:
         """Serve until the planned stop is complete; return the exit code."""
         try:
--- a/src/cyclamenridge/run.py
+++ b/src/cyclamenridge/run.py
@@ -4,7 +4,9 @@
 
 import typer
 
+from cyclamenridge.cli import balancer
 from cyclamenridge.cli import call
+from cyclamenridge.cli import status
 
 app = typer.Typer(
     name="cyclamenridge",
@@ -24,6 +26,10 @@
     typer.echo(metadata.version("cyclamenridge"))
 
 
+app.command()(balancer.balancer)
+app.command()(status.status)
+app.command()(status.dump)
+app.command()(status.drain)
 app.command()(call.call)
 
 
