--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,13 @@
 import msgspec
 import typer
 
-EXPERIMENTS: tuple[str, ...] = ()
+EXPERIMENTS: tuple[str, ...] = (
+    "affinity",
+    "balance",
+    "flood",
+    "scale",
+    "datapath",
+)
 
 
 def main(
