--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -31,6 +31,8 @@
     :param drop_writes: number of writes that are cut before their effect
     :param late_writes: number of writes that are cut and take effect
         ``late_ms`` later
+    :param outage_follows: an outage begins with the next write that is cut
+        or whose answer is lost
     :param silent: requests are read and never answered
     """
 
@@ -40,6 +42,7 @@
     drop_writes: int = 0
     late_writes: int = 0
     late_ms: int = 300
+    outage_follows: bool = False
     watch_lag_ms: int = 0
     instance_lag_ms: int = 0
 
@@ -240,8 +243,7 @@
             else:
                 faults.late_writes -= 1
                 self._later(faults.late_ms, lambda: operation(body))
-            request.transport.abort()
-            return web.Response()
+            return await self._cut(request)
         try:
             answer = operation(body)
         except Refused as exc:
@@ -251,9 +253,16 @@
             )
         if path in _WRITES and faults.lose_answers:
             faults.lose_answers -= 1
-            request.transport.abort()
+            return await self._cut(request)
         return web.json_response(answer)
 
+    async def _cut(self, request: web.Request) -> web.Response:
+        request.transport.abort()
+        if self.faults.outage_follows:
+            self.faults.outage_follows = False
+            await self.set_outage(True)
+        return web.Response()
+
     def _header(self) -> dict[str, str]:
         return {
             "cluster_id": "1",
@@ -427,6 +436,11 @@
             name, value = body["name"], body.get("value")
             data = None if value is None else json.dumps(value).encode()
             self.set_instance(name, data)
+        elif action == "reset":
+            self.faults = Faults()
+            await self.set_outage(False)
+            self._copy = State()
+            self.restore_copy()
         elif action == "keep-copy":
             self.keep_copy()
         elif action == "restore-copy":
