Close sessions and feeds at two balancers, stop balancers in the demo

A close is sent once without an answer. When it went to a balancer that had just been killed, the feed stayed and held up a planned stop of its owner until the stop deadline. It now goes to two different balancers.

An unknown outcome is accepted for requests of a session of the killed balancer that were sent within 3 s after the kill, because until the balancer is declared dead callers cannot know that it is.

--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -19,6 +19,7 @@
 KILL_PART = 0.35
 DRAIN_PART = 0.6
 _CALLER_END_S = 25.0
+_STOP_MARGIN_S = 5.0
 
 
 class Demo:
@@ -73,6 +74,8 @@
             self._caller_report(number) for number in range(1, CALLERS + 1)
         ]
         self._say("all callers are done")
+        stop_codes = self._stop_balancers(victim)
+        self._say(f"planned stop of the other balancers: exit {stop_codes}")
         records = dep.stop_servers()
         for record in records:
             self._say(
@@ -84,11 +87,20 @@
             records,
             killed_owner=str(victim.peer),
             killed_ms=killed_ms,
+            stop_codes=stop_codes,
             codec=dep.codec,
             seed=self._seed,
             seconds=time.monotonic() - self._started_s,
         )
 
+    def _stop_balancers(self, victim: deployment_lib.Balancer) -> list[int]:
+        dep = self._deployment
+        others = [b for b in dep.balancers if b is not victim]
+        for balancer in others:
+            dep.signal(balancer.name, signal.SIGTERM)
+        limit_s = dep.stop_ms / 1000 + _STOP_MARGIN_S
+        return [dep.processes.wait(b.name, limit_s) for b in others]
+
     def _start_caller(self, number: int) -> None:
         dep = self._deployment
         balancers = [f"--balancer={b.caller}" for b in dep.balancers]
@@ -149,4 +161,6 @@
 
 
 if __name__ == "__main__":
-    typer.run(main)
+    app = typer.Typer(pretty_exceptions_enable=False)
+    app.command()(main)
+    app()
--- a/demo/account.py
+++ b/demo/account.py
@@ -10,6 +10,9 @@
 from tests.standins import server as server_lib
 
 DRAIN_LIMIT_MS = 3000
+# Until a balancer is declared dead, callers go on to send requests of its
+# sessions, and their outcome cannot be proved either.
+DEAD_LIMIT_MS = 3000
 
 
 class RequestRecord(msgspec.Struct, frozen=True):
@@ -68,6 +71,7 @@
     wrong_service: int
     run_twice: int
     refused_but_ran: int
+    stop_codes: list[int]
     findings: list[str]
     ok: bool
     seed: int
@@ -80,6 +84,7 @@
     *,
     killed_owner: str,
     killed_ms: int,
+    stop_codes: list[int],
     codec: token_lib.TokenCodec,
     seed: int,
     seconds: float,
@@ -87,6 +92,7 @@
     """Return the account of a run.
 
     :param killed_owner: peer address of the balancer that was killed
+    :param stop_codes: exit codes of the balancers that were stopped
     """
     reports = list(reports)
     servers = list(servers)
@@ -124,7 +130,8 @@
         if req.outcome == "unknown":
             owner = codec.decode(base64.b64decode(req.token)).owner
             if str(owner) != killed_owner or not (
-                req.started_ms <= killed_ms <= req.ended_ms
+                req.started_ms <= killed_ms + DEAD_LIMIT_MS
+                and req.ended_ms >= killed_ms
             ):
                 findings.append(
                     f"{req.name} is unknown ({req.reason}) without a cause"
@@ -138,6 +145,8 @@
         findings.append("a feed got an event of another service or feed")
     if any(not feed.events for feed in feeds):
         findings.append("a feed got no events")
+    if any(stop_codes):
+        findings.append("a planned stop did not end with exit code 0")
     outcomes = collections.Counter(req.outcome for req in requests)
     if not outcomes["answered"]:
         findings.append("no request was answered")
@@ -155,6 +164,7 @@
         wrong_service=wrong_service,
         run_twice=run_twice,
         refused_but_ran=refused_but_ran,
+        stop_codes=stop_codes,
         findings=findings[:20],
         ok=not findings,
         seed=seed,
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -26,10 +26,16 @@
     def __init__(self, log_dir: pathlib.Path) -> None:
         self.log_dir = log_dir
         self._started: dict[str, subprocess.Popen[bytes]] = {}
+        self._log_start: dict[str, int] = {}
 
     def start(self, name: str, module: str, *arguments: str) -> int:
         """Start ``python -m module`` and return its process id."""
-        with (self.log_dir / f"{name}.log").open("ab") as log:
+        path = self.log_dir / f"{name}.log"
+        if name not in self._started:
+            path.write_bytes(b"")
+        # The text of an earlier process of this name does not count.
+        self._log_start[name] = path.stat().st_size
+        with path.open("ab") as log:
             process = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
                 cwd=ROOT,
@@ -43,8 +49,8 @@
 
     def log(self, name: str) -> str:
         """Return what a process has printed."""
-        path = self.log_dir / f"{name}.log"
-        return path.read_text(errors="replace")
+        data = (self.log_dir / f"{name}.log").read_bytes()
+        return data[self._log_start[name] :].decode(errors="replace")
 
     def signal(self, name: str, signum: signal.Signals) -> None:
         """Send a signal to a process that was started here."""
--- a/src/cyclamenridge/adapters/logs.py
+++ b/src/cyclamenridge/adapters/logs.py
@@ -15,8 +15,10 @@
     logging.use_absl_handler()
     logging.set_verbosity(logging.DEBUG if verbose else logging.INFO)
     logging.set_stderrthreshold(logging.DEBUG)
-    # One access line per scrape would hide the changes of state.
-    std_logging.getLogger("aiohttp.access").setLevel(std_logging.WARNING)
+    # One access line per scrape and three lines per transition would hide
+    # the changes of state.
+    for name in ("aiohttp.access", "transitions"):
+        std_logging.getLogger(name).setLevel(std_logging.WARNING)
 
 
 def line(**fields: object) -> str:
--- a/src/cyclamenridge/caller/endpoint.py
+++ b/src/cyclamenridge/caller/endpoint.py
@@ -100,7 +100,12 @@
         """Send a notification to a random balancer."""
         self._send(rpc.notification(method, params))
 
-    def _send(self, data: bytes) -> None:
+    def notify_twice(self, method: str, params: msgspec.Struct) -> None:
+        """Send a notification to two balancers, as one may be gone."""
+        self._send(rpc.notification(method, params), copies=2)
+
+    def _send(self, data: bytes, *, copies: int = 1) -> None:
         assert self._transport is not None
-        dest = self._rng.choice(self.balancers)
-        self._transport.sendto(data, dest.as_tuple())
+        copies = min(copies, len(self.balancers))
+        for dest in self._rng.sample(self.balancers, copies):
+            self._transport.sendto(data, dest.as_tuple())
--- a/src/cyclamenridge/caller/feed.py
+++ b/src/cyclamenridge/caller/feed.py
@@ -80,7 +80,9 @@
             await asyncio.gather(self._task, return_exceptions=True)
         self._client.endpoint.unlisten(self.feed_id)
         if self._token:
-            self._client.endpoint.notify("close", caller.Close(self._token))
+            self._client.endpoint.notify_twice(
+                "close", caller.Close(self._token)
+            )
 
     async def _subscribe(self) -> None:
         nonce = self._client.nonce()
--- a/src/cyclamenridge/caller/session.py
+++ b/src/cyclamenridge/caller/session.py
@@ -172,5 +172,7 @@
     async def close(self) -> None:
         """End the session."""
         if self._token is not None:
-            self._client.endpoint.notify("close", caller.Close(self._token))
+            self._client.endpoint.notify_twice(
+                "close", caller.Close(self._token)
+            )
             self._token = None
