Limit member traffic of a starting fleet

Seeds that were asked by a whole starting fleet spent their budget on the member list and were then taken for dead. The member list and the answers to strangers now have a rate of their own, probes of the node itself keep the last 2 KB of the window, and a fresh node suspects nobody for 3 s. Updates read from pages are not gossiped again.

--- a/src/cyclamenridge/control/budget.py
+++ b/src/cyclamenridge/control/budget.py
@@ -1,5 +1,6 @@
 """Limit of the bytes that a node sends for control."""
 
+import dataclasses
 import enum
 
 WINDOW_MS = 10_000
@@ -20,24 +21,52 @@
     MEMBERS = 1
     CHUNK = 2
     CONFIG = 3
-    PROBE = 4
+    ACK = 4
+    PROBE = 5
 
 
 # A class may send while the bytes of all classes in the window stay under
-# its ceiling. Probes keep the last 2 KB, since a missing answer to a probe
-# makes a live node suspect.
+# its ceiling. The node's own probes have the last 2 KB, so that a node which
+# is asked by many others is still heard and not taken for dead.
 CEILING_BYTES = {
-    Priority.DEMAND: 32_000,
-    Priority.MEMBERS: 34_000,
-    Priority.CHUNK: 36_500,
-    Priority.CONFIG: 38_000,
+    Priority.DEMAND: 30_000,
+    Priority.MEMBERS: 33_000,
+    Priority.CHUNK: 36_000,
+    Priority.CONFIG: 37_000,
+    Priority.ACK: 38_000,
     Priority.PROBE: WINDOW_BYTES,
 }
 
-# Demands have a rate of their own, because a ceiling alone would let them
-# use the window in a burst and then stay silent until it has passed.
-DEMAND_BYTES_PER_S = 2_400
-DEMAND_BURST_BYTES = 2_400
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    """Token bucket of one class."""
+
+    bytes_per_s: int
+    burst_bytes: int
+    tokens: float
+    filled_ms: int = 0
+
+    def take(self, now_ms: int, cost: int) -> bool:
+        elapsed_ms = max(0, now_ms - self.filled_ms)
+        self.filled_ms = now_ms
+        self.tokens = min(
+            self.burst_bytes,
+            self.tokens + elapsed_ms * self.bytes_per_s / 1000,
+        )
+        if self.tokens < cost:
+            return False
+        self.tokens -= cost
+        return True
+
+
+# Rates of their own, because a ceiling alone would let a class use up the
+# window in one burst and then stay silent until it has passed. Members ask
+# the seeds for the member list all at once when a fleet starts.
+_CLASS_RATES = {
+    Priority.DEMAND: (2_400, 2_400),
+    Priority.MEMBERS: (1_500, 12_000),
+}
 
 
 class Budget:
@@ -47,8 +76,10 @@
         self._buckets = [0] * _BUCKETS
         self._bucket = 0
         self._used = 0
-        self._demand_tokens = float(DEMAND_BURST_BYTES)
-        self._demand_ms = 0
+        self._rates = {
+            priority: _Bucket(rate, burst, burst)
+            for priority, (rate, burst) in _CLASS_RATES.items()
+        }
 
     def used(self, now_ms: int) -> int:
         """Return the bytes sent within the window."""
@@ -64,24 +95,13 @@
         cost = size + DATAGRAM_OVERHEAD_BYTES
         if self._used + cost > CEILING_BYTES[priority]:
             return False
-        if priority is Priority.DEMAND and not self._take_demand(now_ms, cost):
+        rate = self._rates.get(priority)
+        if rate is not None and not rate.take(now_ms, cost):
             return False
         self._buckets[self._bucket % _BUCKETS] += cost
         self._used += cost
         return True
 
-    def _take_demand(self, now_ms: int, cost: int) -> bool:
-        elapsed_ms = max(0, now_ms - self._demand_ms)
-        self._demand_ms = now_ms
-        self._demand_tokens = min(
-            DEMAND_BURST_BYTES,
-            self._demand_tokens + elapsed_ms * DEMAND_BYTES_PER_S / 1000,
-        )
-        if self._demand_tokens < cost:
-            return False
-        self._demand_tokens -= cost
-        return True
-
     def _advance(self, now_ms: int) -> None:
         bucket = now_ms // _BUCKET_MS
         if bucket - self._bucket >= _BUCKETS:
--- a/src/cyclamenridge/control/gossip.py
+++ b/src/cyclamenridge/control/gossip.py
@@ -5,8 +5,8 @@
 
 from cyclamenridge.control import messages
 
-# Each update is sent this many times the logarithm of the fleet's size.
-TRANSMIT_FACTOR = 3
+# Each update is sent this many times the natural logarithm of the fleet's size.
+TRANSMIT_FACTOR = 2
 MAX_PER_MESSAGE = 6
 # Bounds the work per message while a whole region joins or leaves. Updates
 # beyond it reach the others with the pages of the member list.
@@ -35,7 +35,7 @@
         """Return the updates to attach to a message."""
         if not self._items:
             return ()
-        limit = TRANSMIT_FACTOR * math.ceil(math.log2(fleet_size + 2))
+        limit = TRANSMIT_FACTOR * math.ceil(math.log(fleet_size + 2))
         names = heapq.nsmallest(
             MAX_PER_MESSAGE, self._items, key=lambda key: self._items[key][0]
         )
--- a/src/cyclamenridge/control/outbox.py
+++ b/src/cyclamenridge/control/outbox.py
@@ -38,6 +38,10 @@
         self._sequence = 0
         self._effects: list[effects.Effect] = []
 
+    def used(self, now_ms: int) -> int:
+        """Return the bytes sent within the window of the budget."""
+        return self._budget.used(now_ms)
+
     def take(self) -> tuple[effects.Effect, ...]:
         """Return the effects since the last call."""
         taken = tuple(self._effects)
--- a/src/cyclamenridge/control/plane.py
+++ b/src/cyclamenridge/control/plane.py
@@ -36,9 +36,14 @@
 STALL_MS = 400
 # A page of the member list is asked for this often until the list has been
 # read once, and at the slow rate after that.
-PAGE_FAST_MS = 300
+PAGE_FAST_MS = 600
 PAGE_SLOW_MS = 10_000
-PAGE_MEMBERS = 16
+PAGE_MEMBERS = 24
+# A fresh node does not suspect anybody yet: while a fleet starts at once,
+# the seeds cannot answer everybody.
+WARM_UP_MS = 3000
+# Above this use of the budget acks carry no updates.
+PIGGYBACK_LIMIT_BYTES = 25_000
 
 
 class ControlPlane:
@@ -72,6 +77,7 @@
         self._domain: set[str] = {me.name}
         self._election_due = True
         self._last_ms = 0
+        self._start_ms = 0
         self._page_after = ""
         self._page_ms = 0
         self._page_fast = True
@@ -101,7 +107,7 @@
 
     def start(self, now_ms: int) -> types.Output:
         """Begin to look for peers and for a document."""
-        self._last_ms = now_ms
+        self._last_ms = self._start_ms = now_ms
         self._page_ms = now_ms + self._rng.randrange(PAGE_FAST_MS)
         self._prober.start(now_ms)
         self._gossip.add(self._self_update())
@@ -261,6 +267,8 @@
                 ):
                     self._out.send(now_ms, entry.address, req, Priority.PROBE)
             case probing.Unanswered():
+                if now_ms - self._start_ms < WARM_UP_MS:
+                    return
                 update = self._table.suspect(now_ms, step.name)
                 if update is not None:
                     self._gossip.add(update)
@@ -457,17 +465,29 @@
             )
 
     def _claim(
-        self, now_ms: int, sender: str, update: messages.Update
+        self,
+        now_ms: int,
+        sender: str,
+        update: messages.Update,
+        *,
+        page: bool = False,
     ) -> None:
+        """Apply a claim of a peer.
+
+        :param page: it is of the member list, so a member that is new to
+            this node is not new to the fleet
+        """
         name = update.balancer.name
         if name == self._me.name:
             self._claim_of_me(update)
             return
         if name == sender:
             return
+        news = name in self._table.entries or not page
         passed_on = self._table.claim(now_ms, update)
         if passed_on is not None:
-            self._gossip.add(passed_on)
+            if news:
+                self._gossip.add(passed_on)
             live = self._table.live_count
             if (
                 passed_on.state is State.SUSPECT
@@ -497,7 +517,9 @@
         entry: membership.Entry | None,
         refute: messages.Update | None,
     ) -> None:
-        updates = self._updates()
+        updates: tuple[messages.Update, ...] = ()
+        if self._out.used(now_ms) < PIGGYBACK_LIMIT_BYTES:
+            updates = self._updates()
         if ping.introduce or entry is None:
             updates = (self._self_update(), *updates)
         if refute is not None:
@@ -506,7 +528,7 @@
             now_ms,
             source,
             messages.Ack(ping.nonce),
-            Priority.MEMBERS if ping.introduce else Priority.PROBE,
+            Priority.MEMBERS if ping.introduce else Priority.ACK,
             updates,
         )
 
@@ -529,7 +551,7 @@
                     now_ms,
                     body.address,
                     messages.Ping(nonce),
-                    Priority.PROBE,
+                    Priority.ACK,
                 )
             case messages.PageRequest():
                 self._send_page(now_ms, source, body.after)
@@ -559,7 +581,7 @@
                 now_ms,
                 relay.asker,
                 messages.Ack(relay.asker_nonce, target=name),
-                Priority.PROBE,
+                Priority.ACK,
             )
 
     def _take_page(
@@ -567,7 +589,7 @@
     ) -> None:
         known = len(self._table.entries)
         for update in page.members:
-            self._claim(now_ms, sender, update)
+            self._claim(now_ms, sender, update, page=True)
         self._page_news |= len(self._table.entries) > known
         self._page_after = page.next
         if not page.next:
