--- a/src/cyclamenridge/compose.py
+++ b/src/cyclamenridge/compose.py
@@ -14,6 +14,7 @@
 import cyclamenridge.app as app_lib
 import cyclamenridge.clock as clock_lib
 from cyclamenridge.config import document as document_lib
+from cyclamenridge.config import operator
 from cyclamenridge.config import settings as settings_lib
 import cyclamenridge.errors as errors
 from cyclamenridge.node import core as core_lib
@@ -79,7 +80,7 @@
         platform=store_platform.StorePlatform(
             etcd.EtcdStore(settings.store),
             store_platform.Format(
-                config_key=document_lib.KEY,
+                config_key=operator.KEY,
                 decode_document=document_lib.decode,
                 encode_document=document_lib.encode,
             ),
