--- a/src/cyclamenridge/run.py
+++ b/src/cyclamenridge/run.py
@@ -4,13 +4,20 @@
 
 import typer
 
+from cyclamenridge.cli import balancer
 from cyclamenridge.cli import call
+from cyclamenridge.cli import config
+from cyclamenridge.cli import status
 
 app = typer.Typer(
     name="cyclamenridge",
     help="Layer-4 load balancer.",
     no_args_is_help=True,
+    # Errors are plain lines for logs and scripts, without boxes.
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
 )
+app.add_typer(config.app, name="config")
 
 
 @app.callback()
@@ -24,6 +31,10 @@
     typer.echo(metadata.version("cyclamenridge"))
 
 
+app.command()(balancer.balancer)
+app.command()(status.status)
+app.command()(status.dump)
+app.command()(status.drain)
 app.command()(call.call)
 
 
