Test each guarantee of the core on an in-memory fleet

The guarantees span sessions, feeds, links and the control plane, so they are tested on whole cores with the real control plane, a network that loses, copies and delays, and the server model.

--- a/tests/node/callers.py
+++ b/tests/node/callers.py
@@ -103,7 +103,16 @@
         self.ask("open", caller.Open(service, "outfit", nonce), session)
         return session
 
-    def call(self, session, kind, size=40, *, seq=None, node=None):
+    def call(
+        self,
+        session,
+        kind,
+        size=40,
+        *,
+        seq=None,
+        node=None,
+        deadline_ms=4000,
+    ):
         if seq is None:
             seq = session.next_seq
             session.next_seq += 1
@@ -112,6 +121,7 @@
         request = Request(
             session, seq, kind, payload, self.new_msgid(), self.fleet.now_ms
         )
+        request.deadline_ms = deadline_ms
         self.requests.append(request)
         self.resend(request, node)
         return request
--- /dev/null
+++ b/tests/node/test_feed_survives.py
@@ -0,0 +1,126 @@
+"""A feed survives as long as its server lives."""
+
+from tests.node import world as world_lib
+
+
+def assert_goes_on(world, feed, limit_ms=15_000):
+    """Wait until new events arrive."""
+    last_seq = feed.last_seq
+    world.fleet.until(lambda: feed.last_seq > last_seq + 2, limit_ms)
+    assert not feed.lost
+    world.oracle.verify()
+
+
+def test_owner_dies_and_another_server_is_removed():
+    """Guards against feeds lost to an unplanned and a planned change."""
+    world = world_lib.World(nodes=5)
+    session = world.open()
+    feeds = [world.subscribe(session) for _ in range(4)]
+    kept = {r: a for r, a in world_lib.SERVERS.items() if r.server != "c1"}
+    world.fleet.apply(world_lib.body(kept))
+    world.fleet.kill_node(world.owner(feeds[0].token))
+    for feed in feeds:
+        assert_goes_on(world, feed)
+
+
+def test_paused_owner_does_not_take_the_feed_back():
+    """Guards against two owners after a pause."""
+    world = world_lib.World()
+    feed = world.subscribe(world.open())
+    owner = world.owner(feed.token)
+    world.fleet.pause_node(owner)
+    world.caller.nodes = [n for n in world.fleet.nodes if n != owner]
+    world.fleet.run(8000)
+    assert_goes_on(world, feed)
+    assert world.owner(feed.token) != owner
+    world.fleet.resume_node(owner)
+    world.caller.nodes = None
+    world.fleet.run(70_000)
+    assert_goes_on(world, feed)
+
+
+def test_late_keepalive_does_not_end_the_feed():
+    """Guards against a node that takes a feed over by a late datagram.
+
+    It never hears from the caller again and must not detach the flow.
+    """
+    world = world_lib.World()
+    feed = world.subscribe(world.open())
+    owner = world.owner(feed.token)
+    old_token = feed.token
+    world.fleet.kill_node(owner)
+    world.fleet.run(6000)
+    assert_goes_on(world, feed)
+    second = world.owner(feed.token)
+    other = next(n for n in world.fleet.nodes if n not in (owner, second))
+    world.fleet.block(other, second)
+    world.fleet.run(8000)
+    token, feed.token = feed.token, old_token
+    for _ in range(2):
+        world.caller.keepalive(feed, other)
+    world.caller.waiting.clear()
+    feed.token = token
+    world.caller.nodes = [second]
+    world.fleet.run(1000)
+    world.fleet.heal()
+    for _ in range(6):
+        world.fleet.run(20_000)
+        assert_goes_on(world, feed)
+
+
+def test_replaced_link_carries_the_events():
+    """Guards against feeds that stay on a half-open link."""
+    world = world_lib.World()
+    feed = world.subscribe(world.open())
+    owner = world.owner(feed.token)
+    server = world.server_of(feed).server
+    world.fleet.block(server, owner)
+    world.fleet.run(5000)
+    world.fleet.heal()
+    assert_goes_on(world, feed)
+
+
+def test_cut_between_owner_and_server_moves_the_feed():
+    """Guards against a feed that waits for one broken path."""
+    world = world_lib.World()
+    feed = world.subscribe(world.open())
+    owner = world.owner(feed.token)
+    server = world.server_of(feed).server
+    world.fleet.block(server, owner)
+    world.fleet.block(owner, server)
+    assert_goes_on(world, feed)
+    assert world.owner(feed.token) != owner
+
+
+def test_lost_events_are_sent_again():
+    """Guards against events that are lost on the way to the caller."""
+    world = world_lib.World(loss=0.3)
+    feed = world.subscribe(world.open())
+    for _ in range(5):
+        assert_goes_on(world, feed)
+
+
+def test_dead_server_is_told_to_the_caller():
+    """Guards against a feed that stays silent after its server died."""
+    world = world_lib.World()
+    feed = world.subscribe(world.open())
+    ref = world.server_of(feed)
+    address = str(world.fleet.servers[ref].address)
+    world.fleet.kill_server(ref)
+    world.fleet.start_server(ref.service, ref.server, address)
+    world.fleet.until(lambda: feed.lost)
+    world.oracle.verify()
+
+
+def test_removed_server_keeps_its_feeds():
+    """Guards against cutting feeds by a change of the configuration."""
+    world = world_lib.World()
+    feed = world.subscribe(world.open())
+    ref = world.server_of(feed)
+    kept = {r: a for r, a in world_lib.SERVERS.items() if r != ref}
+    world.fleet.apply(world_lib.body(kept))
+    world.fleet.run(5000)
+    assert_goes_on(world, feed)
+    world.fleet.kill_node(world.owner(feed.token))
+    world.fleet.run(5000)
+    assert_goes_on(world, feed)
--- /dev/null
+++ b/tests/node/test_not_run_is_proved.py
@@ -0,0 +1,98 @@
+"""A caller is told "not_run" only when the request never runs."""
+
+from cyclamenridge.wire import rpc
+from tests.node import callers
+from tests.node import fleet as fleet_lib
+from tests.node import world as world_lib
+
+Outcome = callers.Outcome
+
+
+def test_cancel_before_the_request_fences_its_number():
+    """Guards against a run after a cancel overtook the request."""
+    world = world_lib.World()
+    session = world.open()
+    request = callers.Request(
+        session, 1, "change", b"counter:x", 77, world.fleet.now_ms
+    )
+    params = callers.caller.Cancel(session.token, 1)
+    world.caller.requests.append(request)
+    world.caller.send(rpc.request(77, "cancel", params))
+    world.fleet.run(100)
+    assert world.finish(request) is Outcome.NOT_RUN
+    assert not world.oracle.log
+
+
+def test_cancel_of_a_running_request_is_no_proof():
+    """Guards against "not_run" for a request that the server started."""
+    world = world_lib.World()
+    session = world.open()
+    request = world.caller.call(session, "change")
+    world.fleet.until(lambda: world.oracle.log)
+    world.caller.cancel(request)
+    assert world.finish(request) is Outcome.ANSWERED
+
+
+def test_refusal_after_a_lost_attempt_is_unknown():
+    """Guards against "not_run" when an earlier attempt may have run."""
+    world = world_lib.World()
+    for ref in (r for r in world_lib.SERVERS if r.service == "counter"):
+        if ref.server != "c0":
+            world.fleet.kill_server(ref)
+    world.fleet.run(500)
+    session = world.open()
+    request = world.caller.call(session, "read")
+    world.fleet.until(lambda: world.oracle.log)
+    world.fleet.kill_server(fleet_lib.ServerRef("counter", "c0"))
+    assert world.finish(request) is Outcome.UNKNOWN
+
+
+def test_late_run_after_a_cut_is_fenced():
+    """Guards against a run that arrives after the caller heard "not_run".
+
+    The message waits in the network while the link is replaced.
+    """
+    world = world_lib.World()
+    session = world.open()
+    owner = world.owner(session.token)
+    for ref in world_lib.SERVERS:
+        world.fleet.block(owner, ref.server)
+    request = world.caller.call(
+        session, "change", node=owner, deadline_ms=2000
+    )
+    world.fleet.run(2600)
+    world.fleet.heal()
+    world.finish(request)
+    world.fleet.run(5000)
+    world.oracle.verify()
+
+
+def test_node_that_cannot_ask_the_owner_says_unknown():
+    """Guards against "not_run" from a node that does not own the session."""
+    world = world_lib.World()
+    session = world.open()
+    owner = world.owner(session.token)
+    request = world.caller.call(session, "change", node=owner)
+    world.fleet.until(lambda: world.oracle.log)
+    world.fleet.kill_node(owner)
+    assert world.finish(request) is Outcome.UNKNOWN
+    assert request.reason is callers.Reason.OWNER_LOST
+    assert len(world.oracle.log) == 1
+
+
+def test_outcome_stays_the_same():
+    """Guards against a run after the deadline passed in the queue."""
+    world = world_lib.World()
+    session = world.open()
+    requests = []
+    for _ in range(40):
+        request = world.caller.call(session, "change", deadline_ms=100)
+        requests.append(request)
+    copies = [world.caller.encode(r, 0) for r in requests]
+    for request in requests:
+        world.finish(request)
+    for copy in copies:
+        world.caller.send(copy)
+    world.fleet.run(5000)
+    assert world.oracle.outcomes[Outcome.NOT_RUN] > 0
+    world.oracle.verify()
--- /dev/null
+++ b/tests/node/test_planned_stop.py
@@ -0,0 +1,104 @@
+"""A planned stop cuts no request and breaks no feed."""
+
+from tests.node import callers
+from tests.node import world as world_lib
+
+Outcome = callers.Outcome
+Reason = callers.Reason
+
+
+def test_requests_finish_and_the_exit_code_is_0():
+    """Guards against requests cut by a stop."""
+    world = world_lib.World()
+    session = world.open()
+    owner = world.owner(session.token)
+    requests = [world.caller.call(session, "change") for _ in range(6)]
+    world.fleet.run(20)
+    world.fleet.stop_node(owner)
+    for request in requests:
+        assert world.finish(request) is Outcome.ANSWERED
+    node = world.fleet.nodes[owner]
+    world.fleet.until(lambda: node.exit_code is not None)
+    assert node.exit_code == 0
+
+
+def test_new_requests_are_refused_for_good():
+    """Guards against a run after "not_run" with the reason leaving."""
+    world = world_lib.World()
+    session = world.open()
+    owner = world.owner(session.token)
+    world.fleet.stop_node(owner)
+    request = world.caller.call(session, "change")
+    assert world.finish(request) is Outcome.NOT_RUN
+    assert request.reason is Reason.LEAVING
+    again = world.open()
+    assert world.owner(again.token) != owner
+    assert world.finish(world.caller.call(again, "change")) is (
+        Outcome.ANSWERED
+    )
+    assert len(world.oracle.log) == 1
+
+
+def test_feeds_move_before_the_exit():
+    """Guards against feeds broken by a stop."""
+    world = world_lib.World()
+    session = world.open()
+    feeds = [world.subscribe(session) for _ in range(5)]
+    owner = world.owner(feeds[0].token)
+    node = world.fleet.nodes[owner]
+    world.fleet.stop_node(owner)
+    world.fleet.until(lambda: node.exit_code is not None)
+    assert node.exit_code == 0
+    for feed in feeds:
+        last_seq = feed.last_seq
+        world.fleet.run(3000)
+        assert feed.last_seq > last_seq
+        assert not feed.lost
+        assert world.owner(feed.token) != owner
+
+
+def test_rolling_restart_of_all_nodes():
+    """Guards against feeds that are lost when each node is replaced."""
+    world = world_lib.World(nodes=4)
+    session = world.open()
+    feeds = [world.subscribe(session) for _ in range(5)]
+    for name in list(world.fleet.nodes):
+        node = world.fleet.nodes[name]
+        world.fleet.stop_node(name)
+        world.fleet.until(lambda n=node: n.exit_code is not None, 35_000)
+        assert node.exit_code == 0
+        world.fleet.run(100)
+        world.fleet.start_node(name)
+        world.fleet.run(4000)
+    for feed in feeds:
+        last_seq = feed.last_seq
+        world.fleet.run(2000)
+        assert feed.last_seq > last_seq
+        assert not feed.lost
+    world.oracle.verify()
+
+
+def test_requests_left_at_the_deadline_get_an_outcome():
+    """Guards against a stop that never ends or says too much."""
+    world = world_lib.World()
+    session = world.open()
+    owner = world.owner(session.token)
+    for ref in world_lib.SERVERS:
+        world.fleet.block(ref.server, owner)
+    request = world.caller.call(session, "change", node=owner)
+    world.fleet.run(300)
+    world.fleet.stop_node(owner, 1)
+    node = world.fleet.nodes[owner]
+    world.fleet.until(lambda: node.exit_code is not None, 15_000)
+    assert world.finish(request) is Outcome.UNKNOWN
+    world.oracle.verify()
+
+
+def test_second_request_to_stop_ends_at_once():
+    """Guards against an operator who cannot end the process."""
+    world = world_lib.World()
+    world.subscribe(world.open())
+    name = next(iter(world.fleet.nodes))
+    world.fleet.stop_node(name)
+    world.fleet.stop_node(name)
+    assert world.fleet.nodes[name].exit_code == 4
