Tell flows without a token to the next balancer in line

Cause: the daemon routed datagrams without a token by rendezvous hashing over the servers whose links were up, so that a drain, a lost link or the death of the home balancer moved flows, and all of them went to leaving servers when no other server was left. Change: PacketRelay uses TokenlessRouter; filters go over the control plane as message pinned, below all other classes of the budget.

--- a/src/cyclamenridge/control/budget.py
+++ b/src/cyclamenridge/control/budget.py
@@ -17,18 +17,20 @@
 class Priority(enum.IntEnum):
     """What a datagram is for; the lowest value gives way first."""
 
-    DEMAND = 0
-    MEMBERS = 1
-    CHUNK = 2
-    CONFIG = 3
-    ACK = 4
-    PROBE = 5
+    FILTER = 0
+    DEMAND = 1
+    MEMBERS = 2
+    CHUNK = 3
+    CONFIG = 4
+    ACK = 5
+    PROBE = 6
 
 
 # A class may send while the bytes of all classes in the window stay under
 # its ceiling. The node's own probes have the last 2 KB, so that a node which
 # is asked by many others is still heard and not taken for dead.
 CEILING_BYTES = {
+    Priority.FILTER: 28_000,
     Priority.DEMAND: 30_000,
     Priority.MEMBERS: 33_000,
     Priority.CHUNK: 36_000,
@@ -64,6 +66,7 @@
 # window in one burst and then stay silent until it has passed. Members ask
 # the seeds for the member list all at once when a fleet starts.
 _CLASS_RATES = {
+    Priority.FILTER: (2_000, 2_000),
     Priority.DEMAND: (2_400, 2_400),
     Priority.MEMBERS: (1_500, 12_000),
 }
--- a/src/cyclamenridge/control/codec.py
+++ b/src/cyclamenridge/control/codec.py
@@ -15,6 +15,7 @@
 from cyclamenridge.control import types
 import cyclamenridge.errors as errors
 from cyclamenridge.routing import homes
+from cyclamenridge.routing import pinned
 from cyclamenridge.scheduling import types as scheduling
 
 TYPE_BYTE = 1
@@ -156,6 +157,13 @@
             chunk.data = body.data
         case messages.Demands():
             _put_demands(out, body)
+        case messages.Pinned():
+            group = out.init("pinned")
+            group.service = body.service
+            group.server = body.filter.server
+            group.part = body.filter.part
+            group.parts = body.filter.parts
+            group.data = body.filter.data
 
 
 def _put_demands(out: Any, body: messages.Demands) -> None:
@@ -247,6 +255,8 @@
             return messages.Demands(
                 tuple(_demand(item) for item in body.demands)
             )
+        case "pinned":
+            return _pinned(body.pinned)
         case other:
             raise ValueError(f"message type {other} is unknown")
 
@@ -276,6 +286,20 @@
     )
 
 
+def _pinned(group: Any) -> messages.Pinned:
+    data = bytes(group.data)
+    item = pinned.PinnedFilter(group.server, group.part, group.parts, data)
+    if item.is_completion:
+        if item.server or item.part:
+            raise ValueError("closing message names a server")
+    else:
+        _name(item.server)
+        if item.part >= item.parts or len(data) > pinned.MAX_FILTER_BYTES:
+            raise ValueError("filter is out of range")
+        pinned.PinnedSet(item.server, item.parts).add(item)
+    return messages.Pinned(_name(group.service), item)
+
+
 def _demand(item: Any) -> scheduling.ServiceDemand:
     kinds = []
     for kind in item.kinds:
--- a/src/cyclamenridge/control/control.capnp
+++ b/src/cyclamenridge/control/control.capnp
@@ -78,5 +78,14 @@
       data @29 :Data;
     }
     demands @30 :List(Demand);
+    # Flows without a token that stay with a server after a change.
+    pinned :group {
+      service @31 :Text;
+      # Empty in the message that closes a set of filters.
+      server @32 :Text;
+      part @33 :UInt16;
+      parts @34 :UInt16;
+      data @35 :Data;
+    }
   }
 }
--- a/src/cyclamenridge/control/messages.py
+++ b/src/cyclamenridge/control/messages.py
@@ -5,6 +5,7 @@
 from cyclamenridge import address as address_lib
 from cyclamenridge.control import types
 from cyclamenridge.routing import homes
+from cyclamenridge.routing import pinned
 from cyclamenridge.scheduling import types as scheduling
 
 MAX_DATAGRAM_BYTES = 1400
@@ -115,6 +116,14 @@
     demands: tuple[scheduling.ServiceDemand, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pinned:
+    """Tells the next owner of flows without a token where they are."""
+
+    service: str
+    filter: pinned.PinnedFilter
+
+
 Body = (
     Announce
     | Ping
@@ -125,6 +134,7 @@
     | Fetch
     | Chunk
     | Demands
+    | Pinned
 )
 
 
--- a/src/cyclamenridge/control/plane.py
+++ b/src/cyclamenridge/control/plane.py
@@ -21,6 +21,7 @@
 from cyclamenridge.node import effects
 from cyclamenridge.node import events
 from cyclamenridge.routing import homes
+from cyclamenridge.routing import pinned
 from cyclamenridge.scheduling import types as scheduling
 
 Address = address_lib.Address
@@ -83,6 +84,7 @@
         self._page_fast = True
         self._page_news = False
         self._demands: list[types.DemandReceived] = []
+        self._filters: list[types.FilterReceived] = []
         self._adopted: document_lib.Document | None = None
         self._changed = False
         self._members: tuple[types.Member, ...] | None = None
@@ -184,6 +186,23 @@
         """Replace the demands that are told once a second."""
         self._demand.set(now_ms, demands)
 
+    def send_filter(
+        self, now_ms: int, member: str, service: str, item: pinned.PinnedFilter
+    ) -> bool:
+        """Tell a member about flows without a token.
+
+        :returns: False when the budget is used up and it has to wait
+        """
+        entry = self._table.entries.get(member)
+        if entry is None:
+            return True
+        return self._out.send(
+            now_ms,
+            entry.address,
+            messages.Pinned(service, item),
+            Priority.FILTER,
+        )
+
     def leave(self, now_ms: int) -> types.Output:
         """Tell the members that this balancer takes no new sessions."""
         if not self._out.header.leaving:
@@ -204,9 +223,11 @@
             effects=self._out.take(),
             adopted=self._adopted,
             demands=tuple(self._demands),
+            filters=tuple(self._filters),
             members_changed=self._changed,
         )
         self._demands.clear()
+        self._filters.clear()
         self._adopted = None
         self._changed = False
         return out
@@ -565,6 +586,10 @@
                 if document is not None:
                     self._adopted_new(now_ms)
                 self._fetch(now_ms, req)
+            case messages.Pinned():
+                self._filters.append(
+                    types.FilterReceived(name, body.service, body.filter)
+                )
             case messages.Demands():
                 self._demands.extend(
                     types.DemandReceived(name, told) for told in body.demands
--- a/src/cyclamenridge/control/types.py
+++ b/src/cyclamenridge/control/types.py
@@ -6,6 +6,7 @@
 from cyclamenridge.config import document as document_lib
 from cyclamenridge.node import effects as effects_lib
 from cyclamenridge.routing import homes
+from cyclamenridge.routing import pinned
 from cyclamenridge.scheduling import types as scheduling
 
 
@@ -34,6 +35,15 @@
     demand: scheduling.ServiceDemand
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FilterReceived:
+    """A member told where flows without a token are."""
+
+    peer: str
+    service: str
+    filter: pinned.PinnedFilter
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Output:
     """Result of one step of the control plane.
@@ -41,12 +51,14 @@
     :param effects: datagrams, store calls and state changes to carry out
     :param adopted: a newer configuration that is in force from now on
     :param demands: demands told by other balancers
+    :param filters: flows without a token that other balancers told
     :param members_changed: the list of members or their states changed
     """
 
     effects: tuple[effects_lib.Effect, ...] = ()
     adopted: document_lib.Document | None = None
     demands: tuple[DemandReceived, ...] = ()
+    filters: tuple[FilterReceived, ...] = ()
     members_changed: bool = False
 
 
--- a/src/cyclamenridge/node/core.py
+++ b/src/cyclamenridge/node/core.py
@@ -79,8 +79,15 @@
         self._feeds = feed_owner.FeedOwner(
             self._ctx, self._services, self._links
         )
+        self._plane = plane_lib.ControlPlane(
+            me, keys=keys, seeds=seeds, rng=rng
+        )
         self._packets = packets_lib.PacketRelay(
-            self._ctx, self._services, self._links
+            self._ctx,
+            self._directory,
+            self._services,
+            self._links,
+            self._plane.send_filter,
         )
         self._dispatch = dispatch.CallerDispatch(
             self._ctx,
@@ -93,9 +100,6 @@
         self._stop = stop_lib.PlannedStop(
             self._ctx, self._sessions, self._executor, self._feeds
         )
-        self._plane = plane_lib.ControlPlane(
-            me, keys=keys, seeds=seeds, rng=rng
-        )
         self._networks: tuple[ipaddress.IPv4Network, ...] | None = None
         self._hosts: dict[str, bool] = {}
         self._demands_ms = 0
@@ -262,12 +266,12 @@
         self._apply(now_ms, self._plane.store_failed(now_ms, event))
 
     def _tick(self, now_ms: int, event: events.Tick) -> None:
+        self._packets.tick(now_ms)
         self._apply(now_ms, self._plane.tick(now_ms))
         self._links.tick(now_ms)
         self._executor.tick(now_ms)
         self._sessions.tick(now_ms)
         self._feeds.tick(now_ms)
-        self._packets.tick(now_ms)
         self._services.tick(now_ms)
         if now_ms - self._demands_ms >= DEMAND_INTERVAL_MS:
             self._demands_ms = now_ms
@@ -315,6 +319,8 @@
             self._services.rehome(now_ms)
         for received in output.demands:
             self._services.peer_demand(now_ms, received)
+        for told in output.filters:
+            self._packets.learn(now_ms, told)
 
     def _adopt(self, body: str, revision: int) -> bool:
         try:
--- a/src/cyclamenridge/node/directory.py
+++ b/src/cyclamenridge/node/directory.py
@@ -80,6 +80,15 @@
         Members that are alive come before suspects. Without a reachable
         member this balancer serves the service itself.
         """
+        found = self.usable(service, exclude_me=exclude_me)
+        if found:
+            return homes.owner(key, found)
+        return None if exclude_me else self._me
+
+    def usable(
+        self, service: str, *, exclude_me: bool = False
+    ) -> tuple[homes.Balancer, ...]:
+        """Return the members of the home set that take new flows."""
         home = [
             member
             for member in self.home(service)
@@ -90,8 +99,8 @@
                 member for member in home if self.state(member.name) is wanted
             )
             if found:
-                return homes.owner(key, found)
-        return None if exclude_me else self._me
+                return found
+        return ()
 
     def owner(self, now_ms: int, token: token_lib.Token) -> Owner:
         """Return the state of the owner that a token names."""
--- a/src/cyclamenridge/routing/pinned.py
+++ b/src/cyclamenridge/routing/pinned.py
@@ -9,6 +9,7 @@
 # 13 bits a flow.
 FLOWS_PER_FILTER = 600
 FALSE_POSITIVE_RATE = 0.002
+MAX_FILTER_BYTES = 1100
 
 _INT128_OFFSET = 1 << 127
 
@@ -75,7 +76,10 @@
         self._blooms: dict[int, rbloom.Bloom] = {}
 
     def add(self, item: PinnedFilter) -> None:
-        """Add one part; a part that is already there is replaced."""
+        """Add one part; a part that is already there is replaced.
+
+        :raises ValueError: the data is not a filter
+        """
         self._blooms[item.part] = rbloom.Bloom.load_bytes(item.data, _hash128)
 
     def __contains__(self, key: bytes) -> bool:
--- a/src/cyclamenridge/routing/tokenless.py
+++ b/src/cyclamenridge/routing/tokenless.py
@@ -162,6 +162,10 @@
             self._pinned[origin, item.server] = known
         known.add(item)
 
+    def remembers(self, key: bytes, server: str) -> bool:
+        """Tell whether a flow is known here to be at a server."""
+        return self._remembered(key) == server
+
     def forget_server(self, server: str) -> None:
         """Drop all that names a server which no longer exists."""
         for table in (self._recent, self._older):
@@ -171,12 +175,13 @@
             del self._pinned[origin_server]
 
     def route(
-        self, now_ms: int, key: bytes, *, opening: bool = True
+        self, now_ms: int, key: bytes, *, opening: bool | None = None
     ) -> str | None:
         """Return the server of a flow, or None when there is none.
 
-        :param opening: the packet may open a flow, so that it must not go
-            to a server which is leaving unless the flow is known
+        :param opening: the packet opens a flow; None when that cannot be
+            seen, so that it must not go to a server which is leaving
+            unless the flow is known
         """
         if now_ms >= self._rotate_at_ms:
             self._rotate(now_ms)
@@ -187,7 +192,9 @@
         if server is None:
             server = self._pinned_server(key)
         if server is None and not opening:
-            server = self._earlier(key)
+            server = self._earlier(
+                key, self._servers if opening is None else self._known
+            )
         if server is None:
             server = self._hashed(key)
         if server is not None and len(self) < self._flow_limit:
@@ -202,7 +209,7 @@
             if now_ms - lost_ms > self._idle_ms:
                 del self._lost_ms[member]
 
-    def _earlier(self, key: bytes) -> str | None:
+    def _earlier(self, key: bytes, usable: tuple[str, ...]) -> str | None:
         """Choose as a lost member did if it could not tell moved flows."""
         if not self._lost_ms:
             return None
@@ -217,7 +224,7 @@
                 or pinned.completion(table.servers).data == told
             ):
                 break
-        servers = [name for name in table.servers if name in self._known]
+        servers = [name for name in table.servers if name in usable]
         return rendezvous.choose(key, servers) if servers else None
 
     def _remembered(self, key: bytes) -> str | None:
