--- a/src/cyclamenridge/control/gossip.py
+++ b/src/cyclamenridge/control/gossip.py
@@ -5,7 +5,8 @@
 
 from cyclamenridge.control import messages
 
-# Each update is sent this many times the natural logarithm of the fleet's size.
+# Each update is sent this many times the natural logarithm of the size of
+# the fleet.
 TRANSMIT_FACTOR = 2
 MAX_PER_MESSAGE = 6
 # Bounds the work per message while a whole region joins or leaves. Updates
--- a/src/cyclamenridge/control/membership.py
+++ b/src/cyclamenridge/control/membership.py
@@ -17,7 +17,7 @@
 # A suspect has this long to refute before it is declared dead.
 SUSPICION_MS = 1000
 # A member that was heard this recently is alive whatever peers claim.
-OWN_EVIDENCE_MS = 1500
+OWN_EVIDENCE_MS = 1000
 # How long a dead member is kept and probed again. Regions lose contact for
 # minutes, and instances that are gone leave the platform's list sooner.
 DEAD_RETENTION_MS = 1_800_000
@@ -75,6 +75,8 @@
         self._live_index: dict[str, int] = {}
         self.by_address: dict[Address, str] = {}
         self._listed: frozenset[str] | None = None
+        # Member of the last claim that this node's own evidence overruled.
+        self.doubtful = ""
 
     @property
     def live_count(self) -> int:
@@ -148,6 +150,7 @@
         same = update.version == entry.update.version
         if same and now_ms - entry.heard_ms < OWN_EVIDENCE_MS:
             self._counters["member_claims_overruled"] += 1
+            self.doubtful = update.balancer.name
             return None
         if update.state is State.DEAD and entry.state is not State.SUSPECT:
             # A healed partition brings claims that half of the fleet is
--- a/src/cyclamenridge/control/probing.py
+++ b/src/cyclamenridge/control/probing.py
@@ -115,6 +115,11 @@
         if name not in self._rechecks:
             self._rechecks.append(name)
 
+    def verify(self, name: str) -> None:
+        """Probe a member next, because peers do not reach it."""
+        if self._round[-1:] != [name]:
+            self._round.append(name)
+
     def woke(self, now_ms: int) -> None:
         """Forget the probe in progress after this node stood still."""
         self._target = None
