Test the control plane on an in-memory fleet

Each test names the failure that it guards against: deaths, loss in one direction, pauses, partitions, replaced names and addresses, a lagging list, store outages, a restored store, a lagging watch, 540 starts at once, and random combinations of these in a stateful test.

Two faults were found on the way and are fixed: a message of an earlier incarnation was accepted from a member that was known by gossip only, and a fetch whose first source had become unreachable kept asking it. A member whose address answers under another name is now suspected only after the message passed the replay check.

--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -225,6 +225,17 @@
                 return False
         return True
 
+    def max_window_bytes(self) -> int:
+        """Return the most control bytes that a node sent in 10 s."""
+        most = 0
+        for node in self.nodes.values():
+            window = 0
+            for bucket in range(self.now_ms // 100 + 1):
+                window += node.bytes_sent[bucket]
+                window -= node.bytes_sent[bucket - 100]
+                most = max(most, window)
+        return most
+
     def all_hold(self, revision: int) -> bool:
         """Return whether every node has a revision in force."""
         return all(
--- a/src/cyclamenridge/control/membership.py
+++ b/src/cyclamenridge/control/membership.py
@@ -167,7 +167,11 @@
         if len(self.entries) >= MAX_MEMBERS:
             self._counters["members_refused"] += 1
             return None
-        entry = Entry(update, now_ms - OWN_EVIDENCE_MS, replay.ReplayWindow())
+        entry = Entry(
+            update,
+            now_ms - OWN_EVIDENCE_MS,
+            replay.ReplayWindow(update.balancer.incarnation),
+        )
         self.entries[name] = entry
         bisect.insort(self._names, name)
         self._enter(now_ms, entry)
@@ -248,6 +252,7 @@
         old = entry.update
         self._leave(entry)
         entry.update = update
+        entry.window.advance(update.balancer.incarnation)
         self._enter(now_ms, entry)
         if old.state != update.state or old.balancer != update.balancer:
             self._on_change(old, update)
--- a/src/cyclamenridge/control/peering.py
+++ b/src/cyclamenridge/control/peering.py
@@ -126,7 +126,7 @@
         if message.sender == self._me.name:
             self._namesake(now_ms, source, message.incarnation)
             return False
-        self._check_address(now_ms, source, message.sender)
+        holder = self.table.by_address.get(source, message.sender)
         entry = self._identify(now_ms, message, source)
         refute = None
         if entry is not None:
@@ -134,6 +134,10 @@
                 self._counters["control_replayed"] += 1
                 return False
             refute = self._heard(now_ms, entry, message)
+            if holder != message.sender:
+                # Another process answers at this member's address.
+                self._counters["member_address_conflicts"] += 1
+                self._suspect(now_ms, holder)
         for update in message.updates:
             self._claim(now_ms, message.sender, update)
         if isinstance(message.body, messages.Ping):
@@ -273,15 +277,6 @@
                 return entry
         return None
 
-    def _check_address(
-        self, now_ms: int, source: Address, sender: str
-    ) -> None:
-        """Suspect a member whose address is used by another one."""
-        known = self.table.by_address.get(source)
-        if known is not None and known != sender:
-            self._counters["member_address_conflicts"] += 1
-            self._suspect(now_ms, known)
-
     def _heard(
         self, now_ms: int, entry: membership.Entry, message: messages.Message
     ) -> messages.Update | None:
--- a/src/cyclamenridge/control/replication.py
+++ b/src/cyclamenridge/control/replication.py
@@ -43,6 +43,7 @@
     sources: list[Address]
     deadline_ms: int
     attempts: int = 0
+    earliest_ms: int = 0
     identity: int = 0
     total: int = 0
     chunks: dict[int, bytes] = dataclasses.field(default_factory=dict)
@@ -125,15 +126,24 @@
         ):
             return None
         if fetching is not None and revision == fetching.revision:
-            if source not in fetching.sources:
-                fetching.sources.append(source)
-                if len(fetching.sources) > MAX_SOURCES:
-                    del fetching.sources[0]
+            self._add_source(now_ms, fetching, source)
             return None
         base = 0 if self._whole else self.revision
         self._fetching = _Fetching(revision, base, [source], now_ms)
         return self._ask(now_ms)
 
+    def _add_source(
+        self, now_ms: int, fetching: _Fetching, source: Address
+    ) -> None:
+        """Remember a source, the one heard last at the end."""
+        if source in fetching.sources:
+            fetching.sources.remove(source)
+        fetching.sources.append(source)
+        del fetching.sources[:-MAX_SOURCES]
+        if fetching.attempts and now_ms >= fetching.earliest_ms:
+            # The sources so far did not answer, this one is reachable.
+            fetching.deadline_ms = now_ms
+
     def tick(self, now_ms: int) -> Request | None:
         """Ask another source when the last one did not answer in time."""
         fetching = self._fetching
@@ -171,8 +181,10 @@
         fetching.deadline_ms = now_ms + self._rng.randint(
             FETCH_TIMEOUT_MS, max(FETCH_TIMEOUT_MS, wait_ms)
         )
+        fetching.earliest_ms = now_ms + FETCH_TIMEOUT_MS
+        sources = fetching.sources
         return Request(
-            self._rng.choice(fetching.sources),
+            sources[-1] if fetching.attempts else self._rng.choice(sources),
             messages.Fetch(fetching.revision, fetching.base, first, count),
         )
 
--- a/src/cyclamenridge/control/storewatch.py
+++ b/src/cyclamenridge/control/storewatch.py
@@ -24,6 +24,9 @@
 READ_TIMEOUT_MS = 3000
 BACKOFF_BASE_MS = 500
 BACKOFF_MAX_MS = 8000
+# The few watchers try again sooner, so that a change which is applied after
+# an outage is in force within 3 s.
+WATCHER_BACKOFF_MAX_MS = 1500
 # An older document is read again before it is overwritten, since it may come
 # from a lagging watch.
 CONFIRM_MS = 300
@@ -147,7 +150,10 @@
             self._watch_ms = self._read_ms
 
     def _back_off(self, now_ms: int) -> None:
-        limit_ms = min(BACKOFF_MAX_MS, BACKOFF_BASE_MS << self._failures)
+        longest_ms = (
+            WATCHER_BACKOFF_MAX_MS if self.watching else BACKOFF_MAX_MS
+        )
+        limit_ms = min(longest_ms, BACKOFF_BASE_MS << self._failures)
         self._failures = min(self._failures + 1, 10)
         self._read_ms = now_ms + self._rng.randint(1, limit_ms)
 
--- /dev/null
+++ b/tests/control/test_budget.py
@@ -0,0 +1,108 @@
+import itertools
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cyclamenridge.control import budget
+from cyclamenridge.control import demand
+from cyclamenridge.control import replay
+from cyclamenridge.control import types
+from cyclamenridge.scheduling import types as scheduling
+
+Priority = budget.Priority
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(0, 700),
+            st.sampled_from(list(Priority)),
+            st.integers(50, 1400),
+        ),
+        max_size=200,
+    )
+)
+def test_no_window_exceeds_the_limit(sends):
+    """Guards against a burst that the average over 10 s does not allow."""
+    limiter = budget.Budget()
+    now_ms, sent = 0, []
+    for wait_ms, priority, size in sends:
+        now_ms += wait_ms
+        if limiter.take(now_ms, priority, size):
+            sent.append((now_ms, size + 28))
+    for end_ms, _ in sent:
+        window = [n for at, n in sent if end_ms - 10_000 < at <= end_ms]
+        assert sum(window) <= 40_000
+
+
+def test_classes_give_way_in_order():
+    """Guards against probes that are dropped while other classes send."""
+    limiter = budget.Budget()
+    first_refused = {}
+    for step in range(400):
+        for priority in Priority:
+            if not limiter.take(step, priority, 100):
+                first_refused.setdefault(priority, step)
+    assert list(Priority) == sorted(first_refused, key=first_refused.get)
+
+
+def test_demands_are_spread_over_the_window():
+    """Guards against peers whose demand decays because a burst at the
+    start of the window leaves nothing for the rest of it.
+    """
+    limiter = budget.Budget()
+    sent_ms = [
+        now_ms
+        for now_ms in range(0, 30_000, 10)
+        if limiter.take(now_ms, Priority.DEMAND, 150)
+    ]
+    gaps = [b - a for a, b in itertools.pairwise(sent_ms)]
+    assert max(gaps) <= 200
+
+
+@given(st.lists(st.integers(1, 90), max_size=120))
+def test_a_sequence_number_is_accepted_once(numbers):
+    """Guards against a replayed message that takes effect again."""
+    window = replay.ReplayWindow(incarnation=5)
+    accepted = [n for n in numbers if window.accept(5, n)]
+    assert len(accepted) == len(set(accepted))
+    assert not window.accept(4, 10_000)
+    assert window.accept(6, 1)
+    window.advance(7)
+    assert not window.accept(6, 10_000)
+    assert window.accept(7, 1)
+
+
+def target(members, draining=()):
+    told = scheduling.ServiceDemand("album", (), draining)
+    return types.DemandTarget(told, members)
+
+
+def test_short_budget_serves_the_longest_wait_first():
+    """Guards against members that are never told when only a part of
+    them can be told each second.
+    """
+    exchange = demand.DemandExchange(random.Random(1))
+    names = tuple(f"bal-{n}" for n in range(40))
+    last = dict.fromkeys(names, 0)
+    exchange.set(0, (target(names),))
+    for now_ms in range(1000, 20_000, 100):
+        for name in exchange.due(now_ms)[:1]:
+            exchange.sent(now_ms, name)
+            assert now_ms - last[name] <= 5000
+            last[name] = now_ms
+
+
+def test_a_drain_mark_is_not_delayed():
+    """Guards against new work for a leaving server after 3 s because
+    other demands are in front of its mark.
+    """
+    exchange = demand.DemandExchange(random.Random(1))
+    names = tuple(f"bal-{n}" for n in range(40))
+    exchange.set(0, (target(names),))
+    exchange.sent(2000, "bal-7")
+    exchange.set(
+        2000, (target(names), target(("bal-7",), draining=("srv-1",)))
+    )
+    assert exchange.due(2000)[0] == "bal-7"
--- /dev/null
+++ b/tests/control/test_membership.py
@@ -0,0 +1,261 @@
+"""Faults that the member list must survive, on an in-memory fleet."""
+
+import pytest
+
+from benchmarks import control_fleet
+from cyclamenridge.control import types
+
+State = types.MemberState
+
+
+def started(count, seed=1):
+    fleet = control_fleet.Fleet(seed)
+    fleet.grow(count)
+    fleet.apply(control_fleet.document(1))
+    fleet.until(fleet.all_alive, 6000)
+    fleet.run(5000)
+    return fleet
+
+
+def split(fleet, names):
+    """Cut the named nodes off from the others, both ways."""
+    fleet.cut = lambda src, dst: (src.name in names) != (dst.name in names)
+
+
+def heal(fleet):
+    fleet.cut = lambda src, dst: False
+
+
+def total(fleet, counter):
+    return sum(node.plane.counters[counter] for node in fleet.nodes.values())
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_death_is_known_everywhere_within_about_3_s(seed):
+    """Guards against feeds that wait for a dead owner."""
+    fleet = started(12, seed)
+    victim = fleet.nodes["bal-004"]
+    fleet.kill(victim)
+    fleet.until(
+        lambda: all(
+            fleet.state(node, "bal-004") is State.DEAD for node in fleet.live()
+        ),
+        3500,
+    )
+    assert total(fleet, "members_suspected") <= 12
+
+
+def test_loss_of_a_tenth_kills_nobody():
+    """Guards against false deaths on a lossy network."""
+    fleet = started(10)
+    fleet.loss = 0.1
+    fleet.run(30_000)
+    fleet.loss = 0.0
+    fleet.run(2000)
+    assert fleet.all_alive()
+    assert total(fleet, "members_died") == 0
+
+
+def test_loss_in_one_direction_kills_nobody():
+    """Guards against a member that is dead for everybody because one
+    peer does not hear it.
+    """
+    fleet = started(8)
+    fleet.cut = lambda src, dst: (src.name, dst.name) == ("bal-001", "bal-002")
+    fleet.run(20_000)
+    assert total(fleet, "members_died") == 0
+
+
+def test_node_that_hears_but_is_not_heard_is_dead_and_returns():
+    """Guards against a half-dead member that is never taken out, and
+    against one that is never taken back.
+    """
+    fleet = started(6)
+    fleet.cut = lambda src, dst: src.name == "bal-002"
+    fleet.until(
+        lambda: all(
+            fleet.state(node, "bal-002") is State.DEAD
+            for node in fleet.live()
+            if node.name != "bal-002"
+        ),
+        5000,
+    )
+    heal(fleet)
+    fleet.until(fleet.all_alive, 6000)
+
+
+def test_paused_process_blames_nobody_and_returns():
+    """Guards against a process that wakes up, takes its own pause for
+    the silence of the others, and spreads that they are dead.
+    """
+    fleet = started(8)
+    sleeper = fleet.nodes["bal-003"]
+    fleet.pause(sleeper, 20_000)
+    fleet.run(10_000)
+    assert fleet.state(fleet.nodes["bal-001"], "bal-003") is State.DEAD
+    fleet.run(10_100)
+    suspected = sleeper.plane.counters["members_suspected"]
+    fleet.until(fleet.all_alive, 4000)
+    assert sleeper.plane.counters["members_suspected"] == suspected
+    assert sleeper.plane.counters["members_died"] == 0
+
+
+def test_partition_heals_by_itself_without_a_storm():
+    """Guards against halves that stay dead to each other for ever, and
+    against a rejoin that exceeds the budget or kills members again.
+    """
+    fleet = started(16)
+    split(fleet, {f"bal-{n:03}" for n in range(9, 17)})
+    fleet.run(180_000)
+    for node in fleet.live():
+        dead = [
+            member
+            for member in node.plane.members()
+            if member.state is State.DEAD
+        ]
+        assert len(dead) == 8
+    died = total(fleet, "members_died")
+    heal(fleet)
+    fleet.until(fleet.all_alive, 10_000)
+    fleet.run(5000)
+    assert fleet.all_alive()
+    assert total(fleet, "members_died") == died
+    assert fleet.max_window_bytes() <= 40_000
+
+
+def test_healing_uses_the_list_when_members_were_forgotten():
+    """Guards against a partition that outlasts the memory of the dead
+    members and is then final.
+    """
+    fleet = started(6)
+    split(fleet, {"bal-004", "bal-005", "bal-006"})
+    fleet.run(3000)
+    everybody = dict(fleet.listed)
+    fleet.listed.clear()
+    fleet.push_list()
+    fleet.run(150_000)
+    assert fleet.state(fleet.nodes["bal-005"], "bal-006") is State.ALIVE
+    assert fleet.state(fleet.nodes["bal-005"], "bal-001") is None
+    fleet.listed.update(everybody)
+    fleet.push_list()
+    heal(fleet)
+    fleet.until(fleet.all_alive, 15_000)
+
+
+def test_restart_within_the_suspicion_replaces_the_old_process():
+    """Guards against messages that are refused as replays, or a session
+    owner that is taken for the process before it.
+    """
+    fleet = started(6)
+    fleet.kill(fleet.nodes["bal-002"])
+    fleet.run(300)
+    fleet.add("bal-002", 2, incarnation=2)
+    fleet.until(
+        lambda: (
+            all(
+                member.balancer.incarnation == 2
+                for node in fleet.live()
+                for member in node.plane.members()
+                if member.balancer.name == "bal-002"
+            )
+            and fleet.all_alive()
+        ),
+        4000,
+    )
+
+
+def test_two_processes_of_one_name():
+    """Guards against a fleet that swings between an old process which
+    woke up late and the one that replaced it.
+    """
+    fleet = started(6)
+    old = fleet.nodes["bal-002"]
+    fleet.pause(old, 8000)
+    fleet.run(1000)
+    fleet.add("bal-002", 40, incarnation=2)
+    fleet.run(15_000)
+    assert old.plane.counters["member_superseded"] == 1
+    for node in fleet.live():
+        seen = {m.balancer.name: m for m in node.plane.members()}
+        assert seen["bal-002"].balancer.incarnation == 2
+        assert seen["bal-002"].state is State.ALIVE
+
+
+def test_address_that_passes_to_another_name():
+    """Guards against an instance that seems alive because its successor
+    answers at its address.
+    """
+    fleet = started(6)
+    fleet.kill(fleet.nodes["bal-002"])
+    del fleet.listed["bal-002"]
+    fleet.add("bal-new", 2)
+    fleet.until(
+        lambda: all(
+            fleet.state(node, "bal-new") is State.ALIVE
+            and fleet.state(node, "bal-002") is not State.ALIVE
+            for node in fleet.live()
+        ),
+        4000,
+    )
+    fleet.run(3000)
+    assert all(
+        fleet.state(node, "bal-002") in (State.DEAD, None)
+        for node in fleet.live()
+    )
+
+
+def test_platform_list_neither_kills_nor_revives():
+    """Guards against a lagging list that overrules what nodes hear."""
+    fleet = started(6)
+    fleet.kill(fleet.nodes["bal-002"])  # stays listed
+    del fleet.listed["bal-003"]  # lives
+    fleet.push_list()
+    fleet.run(10_000)
+    for node in fleet.live():
+        assert fleet.state(node, "bal-002") is State.DEAD
+        assert fleet.state(node, "bal-003") is State.ALIVE
+
+
+def test_listed_nodes_find_each_other_without_seeds():
+    """Guards against a fleet that cannot form when all seeds are gone."""
+    fleet = control_fleet.Fleet(1)
+    fleet.seeds = (fleet.address(200), fleet.address(201))
+    for index in range(1, 6):
+        fleet.add(f"bal-{index:03}", index)
+    fleet.until(fleet.all_alive, 12_000)
+
+
+def test_leaving_is_announced_at_once():
+    """Guards against sessions that are given to a leaving balancer."""
+    fleet = started(8)
+    leaver = fleet.nodes["bal-005"]
+    leaver.plane.leave(fleet.now_ms)
+    fleet.until(
+        lambda: all(
+            fleet.state(node, "bal-005") is State.LEAVING
+            for node in fleet.live()
+        ),
+        1500,
+    )
+
+
+def test_replayed_and_forged_messages_change_nothing():
+    """Guards against an attacker on the path who repeats a death or a
+    whole process that is gone.
+    """
+    fleet = started(5)
+    fleet.sent = []
+    fleet.run(3000)
+    recorded, fleet.sent = fleet.sent, None
+    fleet.kill(fleet.nodes["bal-002"])
+    fleet.run(6000)
+    victim = fleet.nodes["bal-001"]
+    adopted = list(victim.adopted)
+    for _, node, dest, data in recorded:
+        fleet.inject(node, dest, data)
+        fleet.inject(node, dest, data[:-1] + bytes((data[-1] ^ 1,)))
+    assert fleet.state(victim, "bal-002") is State.DEAD
+    assert victim.plane.counters["control_replayed"] > 10
+    assert victim.plane.counters["control_malformed"] > 10
+    fleet.run(5000)
+    assert victim.adopted == adopted
--- /dev/null
+++ b/tests/control/test_replication.py
@@ -0,0 +1,307 @@
+"""Faults that the configuration must survive, on an in-memory fleet."""
+
+import random
+
+import pytest
+
+from benchmarks import control_fleet
+from cyclamenridge.control import replication
+from cyclamenridge.control import storewatch
+from cyclamenridge.control import transfer
+import cyclamenridge.errors as errors
+from cyclamenridge.node import effects
+from cyclamenridge.node import events
+
+IN_FORCE_MS = 3000
+document = control_fleet.document
+
+
+def started(count, seed=1, domains=control_fleet.DOMAINS):
+    fleet = control_fleet.Fleet(seed, domains=domains)
+    fleet.grow(count)
+    fleet.apply(document(1))
+    fleet.until(fleet.all_alive, 6000)
+    fleet.run(6000)
+    return fleet
+
+
+def big_body(revision, lines=6000):
+    """Return text of which zlib leaves about a tenth."""
+    rng = random.Random(7)
+    rows = [
+        f"  server-{n}: 10.0.{n % 256}.{rng.randrange(256)}:80\n"
+        for n in range(lines)
+    ]
+    rows[lines // 2] = f"  server-x: revision {revision}\n"
+    return "".join(rows)
+
+
+def in_force(fleet, revision):
+    return fleet.until(lambda: fleet.all_hold(revision), IN_FORCE_MS)
+
+
+def assert_never_back(fleet):
+    for node in fleet.nodes.values():
+        revisions = [revision for _, revision in node.adopted]
+        assert revisions == sorted(set(revisions))
+
+
+def test_change_reaches_everybody_with_loss():
+    """Guards against a change that waits for a lost announcement."""
+    fleet = started(16)
+    fleet.loss = 0.1
+    for revision in range(2, 8):
+        fleet.apply(document(revision))
+        in_force(fleet, revision)
+    assert_never_back(fleet)
+
+
+def test_edit_of_a_large_file_is_a_small_transfer():
+    """Guards against a change that exceeds the budget because each node
+    sends the whole file.
+    """
+    fleet = started(12)
+    fleet.apply(document(2, big_body(2)))
+    fleet.run(60_000)
+    assert fleet.all_hold(2)
+    before = sum(sum(node.bytes_sent.values()) for node in fleet.live())
+    fleet.apply(document(3, big_body(3)))
+    in_force(fleet, 3)
+    after = sum(sum(node.bytes_sent.values()) for node in fleet.live())
+    assert after - before < 12 * 4000
+    assert fleet.max_window_bytes() <= 40_000
+
+
+def test_whole_file_arrives_within_the_budget():
+    """Guards against a large document that starves probes or never
+    arrives where the store cannot be reached.
+    """
+    fleet = started(9)
+    fleet.store_cut = lambda node: node.name != "bal-001"
+    fleet.break_watches()
+    fleet.run(5000)
+    fleet.apply(document(2, big_body(2, lines=4000)))
+    fleet.until(lambda: fleet.all_hold(2), 60_000)
+    assert fleet.max_window_bytes() <= 40_000
+    died = sum(n.plane.counters["members_died"] for n in fleet.live())
+    assert died == 0
+
+
+def test_domain_without_the_platform_hears_through_the_others():
+    """Guards against a domain that keeps an old configuration while it
+    still reaches its peers.
+    """
+    fleet = started(9)
+    fleet.store_cut = lambda node: node.balancer.failure_domain == "oslo-b"
+    fleet.break_watches()
+    fleet.run(2000)
+    fleet.apply(document(2))
+    in_force(fleet, 2)
+
+
+def test_region_cut_for_minutes_has_the_newest_after_healing():
+    """Guards against a region that stays behind after contact returns."""
+    fleet = started(12)
+
+    def inside(node):
+        return node.balancer.failure_domain == "oslo-c"
+
+    fleet.cut = lambda src, dst: inside(src) != inside(dst)
+    fleet.store_cut = inside
+    fleet.break_watches()
+    fleet.run(120_000)
+    fleet.apply(document(2))
+    fleet.run(60_000)
+    assert not fleet.all_hold(2)
+    fleet.cut = lambda src, dst: False
+    in_force(fleet, 2)
+
+
+@pytest.mark.parametrize("outage", ["up", "down", "slow", "no peers"])
+def test_fresh_start(outage):
+    """Guards against an instance that starts without a configuration
+    although a peer or the store has one.
+    """
+    fleet = started(4)
+    if outage == "down":
+        fleet.store.up = False
+    if outage == "slow":
+        fleet.store.delay_ms = 4000
+    if outage == "no peers":
+        for node in list(fleet.live()):
+            fleet.kill(node)
+    fleet.add("bal-009", 9)
+    in_force(fleet, 1)
+    calls = fleet.nodes["bal-009"].plane.counters
+    assert calls["store_reads"] <= 3
+
+
+def test_restarted_store_gets_the_newest_document_back():
+    """Guards against a store that lost writes and hands an old document
+    to fresh instances for ever.
+    """
+    fleet = started(6)
+    fleet.apply(document(2))
+    in_force(fleet, 2)
+    fleet.store.up = False
+    fleet.break_watches()
+    fleet.run(5000)
+    fleet.store.document = document(1)
+    fleet.store.mod_revision = 40
+    fleet.store.up = True
+    fleet.until(lambda: fleet.store.document.revision == 2, 6000)
+    assert fleet.all_hold(2)
+    fleet.run(10_000)
+    assert_never_back(fleet)
+    writes = [kind for _, kind in fleet.store.calls if kind == "write"]
+    assert len(writes) <= 6
+
+
+def test_lagging_watch_does_not_delay_a_change_or_undo_one():
+    """Guards against a change that waits for a watch that hangs, and
+    against a late event that is taken for a store that lost writes.
+    """
+    fleet = started(6)
+    fleet.store.watch_lag_ms = 20_000
+    for revision in (2, 3, 4):
+        fleet.apply(document(revision))
+        in_force(fleet, revision)
+        fleet.run(3000)
+    fleet.run(40_000)
+    assert_never_back(fleet)
+    assert fleet.store.document.revision == 4
+    # Writes of a stale event fail on the compare.
+    assert fleet.store.mod_revision == 4
+
+
+def test_change_after_an_outage_of_the_store():
+    """Guards against watchers that back off for longer than a change
+    may take.
+    """
+    fleet = started(6)
+    fleet.store.up = False
+    fleet.break_watches()
+    fleet.run(120_000)
+    fleet.store.up = True
+    fleet.apply(document(2))
+    in_force(fleet, 2)
+
+
+def test_three_members_of_each_domain_watch():
+    """Guards against store calls that grow with the fleet."""
+    fleet = started(18)
+    watching = [node for node in fleet.live() if node.watching]
+    assert len(watching) == 9
+    fleet.store.calls.clear()
+    fleet.run(10_000)
+    assert len(fleet.store.calls) < 10 * 9
+    for node in watching:
+        fleet.kill(node)
+    fleet.run(8000)
+    assert sum(node.watching for node in fleet.live()) == 9
+
+
+@pytest.mark.parametrize("elected", [False, True])
+def test_540_instances_stay_within_the_rates_of_the_store(elected):
+    """Guards against a store that is overloaded when 540 instances start
+    or reconnect at once; the worst case is that each of them believes to
+    be alone in its domain.
+    """
+    rng = random.Random(1)
+    watchers = []
+    for number in range(540):
+        watcher = storewatch.StoreWatcher(f"bal-{number}", rng, _counter())
+        watcher.start(0)
+        if elected:
+            watcher.elect("oslo-a", [f"bal-{number}"])
+        watchers.append(watcher)
+    per_second = {}
+    for now_ms in range(0, 30_000, 50):
+        for watcher in watchers:
+            for effect in watcher.tick(now_ms, None):
+                second = now_ms // 1000
+                per_second[second] = per_second.get(second, 0) + 1
+                if not isinstance(effect, effects.WatchStore):
+                    watcher.failed(now_ms)
+    assert max(per_second.values()) <= 2000
+    if not elected:
+        late = [n for second, n in per_second.items() if second >= 15]
+        assert max(late) <= 400
+
+
+def test_write_back_needs_two_equal_reads():
+    """Guards against a write for each event of a lagging watch."""
+    watcher = storewatch.StoreWatcher("bal-1", random.Random(1), _counter())
+    watcher.start(0)
+    watcher.elect("oslo-a", ["bal-1"])
+    watcher.tick(0, document(3))
+    newest = document(3)
+    assert not watcher.read(10, events.StoreRead(document(1), 5), newest)
+    assert not watcher.read(20, events.StoreRead(document(2), 6), newest)
+    assert watcher.read(30, events.StoreRead(document(2), 6), newest) == [
+        effects.WriteStore(newest, 6)
+    ]
+
+
+def test_damaged_document_is_not_adopted():
+    """Guards against a document whose body is not what was accepted."""
+    fleet = started(3)
+    good = document(2)
+    fleet.apply(
+        control_fleet.Document(2, good.digest, "apply-2", (), "tampered")
+    )
+    fleet.run(3000)
+    assert fleet.all_hold(1)
+    node = fleet.nodes["bal-001"]
+    assert node.plane.counters["config_digest_mismatch"] > 0
+
+
+def test_two_documents_of_one_revision_are_counted_and_kept():
+    """Guards against balancers that swap documents for ever after a
+    store lost writes and an operator applied another file.
+    """
+    fleet = started(6)
+    fleet.apply(document(2))
+    in_force(fleet, 2)
+    fleet.apply(document(2, "another"))
+    fleet.run(5000)
+    assert all(n.plane.document.body != "another" for n in fleet.live())
+    assert all(
+        node.plane.counters["config_conflict"] == 1
+        for node in fleet.live()
+        if node.watching
+    )
+    fleet.apply(document(3, "another"))
+    in_force(fleet, 3)
+
+
+def test_transfer_relative_to_another_base_falls_back_to_the_whole():
+    """Guards against a node that never gets a revision because it holds
+    another document under the base's revision.
+    """
+    body = big_body(1, lines=400)
+    sender = replication.Replicator(random.Random(1), _counter())
+    receiver = replication.Replicator(random.Random(1), _counter())
+    assert sender.adopt(document(1, body))
+    assert receiver.adopt(document(1, "# edited\n" + body[:-40]))
+    assert sender.adopt(document(2, body.replace("server-9:", "server-y:")))
+    source = control_fleet.Fleet(1).address(1)
+    now_ms = 0
+    for _ in range(2):
+        req = receiver.heard(now_ms, source, 2, sender.digest)
+        while req is not None:
+            chunks, req = sender.serve(req.body), None
+            for chunk in chunks:
+                _, req = receiver.chunk(now_ms, chunk)
+    assert receiver.document == sender.document
+
+
+def test_compressed_bomb_is_refused():
+    """Guards against a few KB that unfold to gigabytes."""
+    huge = control_fleet.document(2, "x" * 1_200_000)
+    with pytest.raises(errors.ControlError):
+        transfer.unpack(transfer.pack(huge, None), None)
+
+
+def _counter():
+    return control_fleet.collections.Counter()
