Cache routes of tokens and bound the tables of sessions and feeds

Forwarding a call decoded the token, looked the owner up twice and keyed a new MAC for each datagram. Routes are now kept per version of the directory and the keyed MAC state is copied. Counters of the schedulers and the control plane are added to those of the node, and a session forgets the subscriptions of ended feeds.

--- a/src/cyclamenridge/feed/flow.py
+++ b/src/cyclamenridge/feed/flow.py
@@ -7,6 +7,15 @@
 
 # The token has 16 bits for the epoch.
 MAX_EPOCH = 0xFFFF
+# An owner asks the server this often whether the feed is still attached
+# here. It is less than the idle time, so that a balancer that took the
+# feed over by a late datagram passes events on until the owner has it.
+VERIFY_MS = 30_000
+# How long a caller waits for a server that cannot be reached.
+ATTACH_LIMIT_MS = 3000
+# An attach acknowledges events and makes the server send the later ones
+# again. It follows a keepalive at most this often.
+RESEND_EVENT_MS = 1000
 
 
 class State(enum.Enum):
@@ -94,3 +103,18 @@
         self.token_epoch = 0
         self.tried: set[str] = set()
         self.waiter: int | None = None
+
+    def needs_attach(self, now_ms: int, *, mine: bool) -> bool:
+        """Tell whether a keepalive is a reason to attach again."""
+        if self.attaching:
+            return now_ms - self.attach_ms > ATTACH_LIMIT_MS
+        if mine and not self.confirmed:
+            return True
+        if now_ms - self.attach_ms > VERIFY_MS:
+            return True
+        # The server keeps events until they are acknowledged, and sends
+        # those again that were lost on the way to the caller.
+        return (
+            max(self.caller_seq, self.sent_seq) > self.acked_seq
+            and now_ms - self.attach_ms >= RESEND_EVENT_MS
+        )
--- a/src/cyclamenridge/feed/owner.py
+++ b/src/cyclamenridge/feed/owner.py
@@ -13,7 +13,7 @@
 from cyclamenridge.node import events
 from cyclamenridge.node import links as links_lib
 from cyclamenridge.node import services as services_lib
-from cyclamenridge.session import owner as session_owner
+from cyclamenridge.session import state as session_state
 from cyclamenridge.wire import backend
 from cyclamenridge.wire import caller
 from cyclamenridge.wire import rpc
@@ -26,19 +26,12 @@
 State = flow_lib.State
 
 FEED_IDLE_MS = 60_000
-# An owner asks the server this often whether the feed is still attached
-# here. It is less than the idle time, so that a balancer that took the
-# feed over by a late datagram passes events on until the owner has it.
-VERIFY_MS = 30_000
-# How long a caller waits for a server that cannot be reached.
-ATTACH_LIMIT_MS = 3000
-# An attach acknowledges events and makes the server send the later ones
-# again. It follows a keepalive at most this often.
-RESEND_EVENT_MS = 1000
 PROBE_INTERVAL_MS = 1000
 MAX_PROBES_PER_TICK = 200
 MAX_ATTACHES_PER_TICK = 1000
 MAX_ORPHANS = 1000
+# Subscriptions of a session above which those of ended feeds are dropped.
+MAX_NONCES = 64
 MAX_FEEDS = 100_000
 # Late datagrams make the epoch grow by a few; more in one go means that
 # two balancers compete, and the caller's next keepalive decides.
@@ -90,7 +83,7 @@
         source: Address,
         msgid: int,
         params: caller.Subscribe,
-        session: session_owner.Session,
+        session: session_state.Session,
     ) -> None:
         """Open a feed, or find the one that a resend asks for."""
         known = self._table.get(session.feeds.get(params.nonce, -1))
@@ -129,7 +122,19 @@
             feed.waiter = msgid
             feed.confirmed = True
             if self._place(now_ms, feed, session.service):
-                session.feeds[params.nonce] = feed.ident
+                self._remember(session, params.nonce, feed)
+
+    def _remember(
+        self, session: session_state.Session, nonce: int, feed: Feed
+    ) -> None:
+        """Let a resend of a subscription find its feed."""
+        if len(session.feeds) >= MAX_NONCES:
+            session.feeds = {
+                known: ident
+                for known, ident in session.feeds.items()
+                if ident in self._table
+            }
+        session.feeds[nonce] = feed.ident
 
     def keepalive(
         self,
@@ -154,7 +159,7 @@
         if feed.state is not State.ATTACHED:
             feed.waiter = msgid
             return
-        if self._needs_attach(now_ms, feed, mine):
+        if feed.needs_attach(now_ms, mine=mine):
             feed.confirmed = feed.confirmed or mine
             self._attach(now_ms, feed, feed.epoch)
         self._granter.grant(feed, source, msgid)
@@ -250,7 +255,7 @@
         """Expire feeds and waits, and attach what is queued."""
         self._drain_queue(now_ms)
         for feed in list(self._table.waiting.values()):
-            if now_ms - feed.waiting_ms < ATTACH_LIMIT_MS:
+            if now_ms - feed.waiting_ms < flow_lib.ATTACH_LIMIT_MS:
                 continue
             # A server that cannot be reached may live. Its flows are given
             # up only when it says itself that it does not know them.
@@ -281,20 +286,6 @@
                     self._attach(now_ms, feed, feed.epoch)
             self._probe_queue.popleft()
 
-    def _needs_attach(self, now_ms: int, feed: Feed, mine: bool) -> bool:
-        if feed.attaching:
-            return now_ms - feed.attach_ms > ATTACH_LIMIT_MS
-        if mine and not feed.confirmed:
-            return True
-        if now_ms - feed.attach_ms > VERIFY_MS:
-            return True
-        # The server keeps events until they are acknowledged, and sends
-        # those again that were lost on the way to the caller.
-        return (
-            max(feed.caller_seq, feed.sent_seq) > feed.acked_seq
-            and now_ms - feed.attach_ms >= RESEND_EVENT_MS
-        )
-
     def _take_over(
         self,
         now_ms: int,
--- a/src/cyclamenridge/node/core.py
+++ b/src/cyclamenridge/node/core.py
@@ -25,6 +25,7 @@
 from cyclamenridge.node import packets as packets_lib
 from cyclamenridge.node import services as services_lib
 from cyclamenridge.node import stop as stop_lib
+from cyclamenridge.node import tallies
 from cyclamenridge.routing import homes
 from cyclamenridge.session import execution
 from cyclamenridge.session import owner as session_owner
@@ -38,6 +39,8 @@
 DEMAND_INTERVAL_MS = 1000
 _CONTROL = 1
 _MAX_CHECKED_HOSTS = 4096
+# The application counts what it really sends.
+_COUNTED_ELSEWHERE = frozenset({"control_bytes_sent"})
 
 _STATES = ["starting", "serving", "leaving", "stopped"]
 _TRANSITIONS = [
@@ -100,6 +103,7 @@
         self._stop = stop_lib.PlannedStop(
             self._ctx, self._sessions, self._executor, self._feeds
         )
+        self._tallies = tallies.TallyCollector(self._ctx.counters)
         self._networks: tuple[ipaddress.IPv4Network, ...] | None = None
         self._hosts: dict[str, bool] = {}
         self._demands_ms = 0
@@ -175,7 +179,7 @@
                 )
                 for link in self._links.links()
             ),
-            sessions=self._sessions.session_count,
+            sessions=len(self._sessions.table),
             requests_in_progress=self._sessions.unfinished_count,
             buffered_bytes=self._sessions.buffered_bytes,
             feeds=self._feeds.feed_count,
@@ -276,11 +280,23 @@
         if now_ms - self._demands_ms >= DEMAND_INTERVAL_MS:
             self._demands_ms = now_ms
             self._plane.set_demands(now_ms, self._services.demands(now_ms))
+            self._collect_counters()
         if self.state == "leaving":
             exit_code = self._stop.tick(now_ms)
             if exit_code is not None:
                 self._finish_stop(exit_code)
 
+    def _collect_counters(self) -> None:
+        self._tallies.collect(
+            "control", self._plane.counters, skip=_COUNTED_ELSEWHERE
+        )
+        for runtime in self._services.runtimes():
+            self._tallies.collect(
+                f"scheduler {runtime.name}",
+                runtime.scheduler.counters,
+                prefix="scheduler_",
+            )
+
     def _stop_requested(
         self, now_ms: int, event: events.StopRequested
     ) -> None:
--- a/src/cyclamenridge/node/directory.py
+++ b/src/cyclamenridge/node/directory.py
@@ -37,6 +37,7 @@
         self._by_address: dict[Address, control.Member] = {}
         self._states: dict[str, MemberState] = {}
         self._homes: dict[str, tuple[homes.Balancer, ...]] = {}
+        self.version = 0
 
     def start(self, now_ms: int) -> None:
         """Begin to learn about peers."""
@@ -44,6 +45,7 @@
 
     def update(self, members: tuple[control.Member, ...]) -> None:
         """Take the members that the control plane knows now."""
+        self.version += 1
         self._by_address = {}
         self._states = {}
         for member in members:
@@ -60,6 +62,10 @@
         )
         self._rebuild(members)
 
+    def learning(self, now_ms: int) -> bool:
+        """Tell whether this node has just started."""
+        return now_ms - self._started_ms < LEARNING_MS
+
     def home(self, service: str) -> tuple[homes.Balancer, ...]:
         """Return the home set of a service."""
         return self._homes.get(service, ())
@@ -110,8 +116,7 @@
             return Owner.LOST
         member = self._by_address.get(token.owner)
         if member is None:
-            learning = now_ms - self._started_ms < LEARNING_MS
-            return Owner.PEER if learning else Owner.LOST
+            return Owner.PEER if self.learning(now_ms) else Owner.LOST
         if (
             member.state is MemberState.DEAD
             or member.balancer.incarnation > token.incarnation
--- a/src/cyclamenridge/node/dispatch.py
+++ b/src/cyclamenridge/node/dispatch.py
@@ -1,7 +1,6 @@
 """Handling of datagrams from callers."""
 
 from collections.abc import Callable
-from typing import Any
 
 import msgspec
 
@@ -45,7 +44,11 @@
 _KEEPALIVE = msgspec.msgpack.Decoder(caller.Keepalive)
 _DATAGRAM = msgspec.msgpack.Decoder(caller.Datagram)
 
-_Handler = Callable[[int, Address, int, msgspec.Raw, Token, bytes, bool], None]
+# A verified token and the state of the owner that it names.
+_Route = tuple[Token, Owner]
+_Handler = Callable[
+    [int, Address, int, msgspec.Raw, _Route, bytes, bool], None
+]
 
 
 class CallerDispatch:
@@ -67,6 +70,10 @@
         self._packets = packets
         self._codec = codec
         self._tokens: dict[bytes, Token] = {}
+        # Owners of the tokens as of one version of the directory.
+        self._routes: dict[bytes, _Route] = {}
+        self._packet_homes: dict[tuple[str, Address], Address] = {}
+        self._routes_version = -1
         self._requests: dict[str, tuple[TokenType, _Handler]] = {
             "call": (TokenType.SESSION, self._call),
             "cancel": (TokenType.SESSION, self._cancel),
@@ -107,15 +114,15 @@
         entry = self._requests.get(message.method)
         if entry is not None:
             wanted, handler = entry
-            token = self._token(message.params)
-            if token.type is not wanted:
+            route = self._route(now_ms, message.params)
+            if route[0].type is not wanted:
                 raise errors.WireError("token is of another type")
             handler(
                 now_ms,
                 source,
                 message.msgid,
                 message.params,
-                token,
+                route,
                 data,
                 forwarded,
             )
@@ -137,8 +144,8 @@
     ) -> None:
         handler = self._notifications.get(message.method)
         if handler is not None:
-            token = self._token(message.params)
-            handler(now_ms, source, 0, message.params, token, data, forwarded)
+            route = self._route(now_ms, message.params)
+            handler(now_ms, source, 0, message.params, route, data, forwarded)
         elif message.method == "datagram":
             self._packet(now_ms, source, message.params, data, forwarded)
         else:
@@ -162,7 +169,7 @@
             if chosen is not None and chosen.name != self._ctx.me.name:
                 self._forward(chosen.peer_address, source, data)
                 return
-        self._sessions.open(now_ms, source, msgid, req)
+        self._sessions.table.open(now_ms, source, msgid, req)
 
     def _call(
         self,
@@ -170,15 +177,16 @@
         source: Address,
         msgid: int,
         params: msgspec.Raw,
-        token: Token,
+        route: _Route,
         data: bytes,
         forwarded: bool,
     ) -> None:
-        if self._is_mine(now_ms, source, token, data, forwarded):
+        token, owner = route
+        if self._is_mine(source, token, owner, data, forwarded):
             self._sessions.call(
                 now_ms, source, msgid, _CALL.decode(params), token.ident
             )
-        elif self._is_lost(now_ms, token):
+        elif owner is Owner.LOST:
             req = _CALL.decode(params)
             self._sessions.replies.unknown(
                 source, msgid, req.seq, req.check, Reason.OWNER_LOST
@@ -190,15 +198,16 @@
         source: Address,
         msgid: int,
         params: msgspec.Raw,
-        token: Token,
+        route: _Route,
         data: bytes,
         forwarded: bool,
     ) -> None:
-        if self._is_mine(now_ms, source, token, data, forwarded):
+        token, owner = route
+        if self._is_mine(source, token, owner, data, forwarded):
             self._sessions.cancel(
                 now_ms, source, msgid, _CANCEL.decode(params), token.ident
             )
-        elif self._is_lost(now_ms, token):
+        elif owner is Owner.LOST:
             req = _CANCEL.decode(params)
             self._sessions.replies.unknown(
                 source, msgid, req.seq, 0, Reason.OWNER_LOST
@@ -210,11 +219,12 @@
         source: Address,
         msgid: int,
         params: msgspec.Raw,
-        token: Token,
+        route: _Route,
         data: bytes,
         forwarded: bool,
     ) -> None:
-        if self._is_mine(now_ms, source, token, data, forwarded):
+        token, owner = route
+        if self._is_mine(source, token, owner, data, forwarded):
             self._sessions.ack(now_ms, _ACK.decode(params), token.ident)
 
     def _subscribe(
@@ -223,18 +233,19 @@
         source: Address,
         msgid: int,
         params: msgspec.Raw,
-        token: Token,
+        route: _Route,
         data: bytes,
         forwarded: bool,
     ) -> None:
-        if self._is_mine(now_ms, source, token, data, forwarded):
+        token, owner = route
+        if self._is_mine(source, token, owner, data, forwarded):
             req = _SUBSCRIBE.decode(params)
-            session = self._sessions.get(now_ms, token.ident)
+            session = self._sessions.table.use(now_ms, token.ident)
             if session is None:
                 self._ctx.refuse(source, msgid, Reason.OWNER_LOST)
             else:
                 self._feeds.subscribe(now_ms, source, msgid, req, session)
-        elif self._is_lost(now_ms, token):
+        elif owner is Owner.LOST:
             self._ctx.refuse(source, msgid, Reason.OWNER_LOST)
 
     def _keepalive(
@@ -243,14 +254,13 @@
         source: Address,
         msgid: int,
         params: msgspec.Raw,
-        token: Token,
+        route: _Route,
         data: bytes,
         forwarded: bool,
     ) -> None:
-        status = self._directory.owner(now_ms, token)
-        mine = status is Owner.ME
+        token, owner = route
         if not forwarded:
-            dest = self._feed_destination(token, status)
+            dest = self._feed_destination(token, owner)
             if dest is not None:
                 self._forward(dest, source, data)
                 return
@@ -260,7 +270,7 @@
             msgid,
             _KEEPALIVE.decode(params),
             token,
-            mine=mine,
+            mine=owner is Owner.ME,
         )
 
     def _close(
@@ -269,17 +279,17 @@
         source: Address,
         msgid: int,
         params: msgspec.Raw,
-        token: Token,
+        route: _Route,
         data: bytes,
         forwarded: bool,
     ) -> None:
+        token, owner = route
         if token.type is TokenType.SESSION:
-            if self._is_mine(now_ms, source, token, data, forwarded):
+            if self._is_mine(source, token, owner, data, forwarded):
                 self._sessions.close(now_ms, token.ident)
             return
-        status = self._directory.owner(now_ms, token)
         if not forwarded:
-            dest = self._feed_destination(token, status)
+            dest = self._feed_destination(token, owner)
             if dest is not None:
                 self._forward(dest, source, data)
                 return
@@ -295,19 +305,29 @@
     ) -> None:
         packet = _DATAGRAM.decode(params)
         if not forwarded:
-            chosen = self._directory.place(
-                packet.service, str(source).encode()
-            )
-            if chosen is not None and chosen.name != self._ctx.me.name:
-                self._forward(chosen.peer_address, source, data)
+            dest = self._packet_home(packet.service, source)
+            if dest != self._ctx.me.peer_address:
+                self._forward(dest, source, data)
                 return
         self._packets.from_caller(now_ms, source, packet)
 
-    def _feed_destination(self, token: Token, status: Owner) -> Address | None:
+    def _packet_home(self, service: str, source: Address) -> Address:
+        """Return the balancer that keeps a flow without a token."""
+        self._follow_directory()
+        dest = self._packet_homes.get((service, source))
+        if dest is None:
+            chosen = self._directory.place(service, str(source).encode())
+            dest = (chosen or self._ctx.me).peer_address
+            if len(self._packet_homes) >= MAX_CACHED_TOKENS:
+                self._packet_homes.clear()
+            self._packet_homes[service, source] = dest
+        return dest
+
+    def _feed_destination(self, token: Token, owner: Owner) -> Address | None:
         """Return where a feed datagram goes; None: it is handled here."""
-        if status is Owner.PEER:
+        if owner is Owner.PEER:
             return token.owner
-        if status is Owner.ME and not self._ctx.leaving:
+        if owner is Owner.ME and not self._ctx.leaving:
             feed = self._feeds.get(token.ident)
             # A member that reaches the server can take the feed over.
             if feed is None or not self._feeds.unreachable(feed):
@@ -316,7 +336,7 @@
         successor = self._directory.place(
             service,
             token.ident.to_bytes(8, "big"),
-            exclude_me=status is Owner.ME,
+            exclude_me=owner is Owner.ME,
         )
         if successor is None or successor.name == self._ctx.me.name:
             return None
@@ -324,26 +344,22 @@
 
     def _is_mine(
         self,
-        now_ms: int,
         source: Address,
         token: Token,
+        owner: Owner,
         data: bytes,
         forwarded: bool,
     ) -> bool:
         """Tell whether a session is owned here; forward it if a peer is."""
-        status = self._directory.owner(now_ms, token)
-        if status is Owner.ME:
+        if owner is Owner.ME:
             return True
-        if status is not Owner.LOST:
+        if owner is not Owner.LOST:
             if forwarded:
                 self._ctx.counters["forwarded_misrouted"] += 1
             else:
                 self._forward(token.owner, source, data)
         return False
 
-    def _is_lost(self, now_ms: int, token: Token) -> bool:
-        return self._directory.owner(now_ms, token) is Owner.LOST
-
     def _forward(self, dest: Address, source: Address, data: bytes) -> None:
         self._ctx.counters["datagrams_forwarded"] += 1
         self._ctx.effects.append(
@@ -352,9 +368,29 @@
             )
         )
 
-    def _token(self, params: msgspec.Raw) -> Token:
+    def _route(self, now_ms: int, params: msgspec.Raw) -> _Route:
         data = _HEAD.decode(params).token
-        token: Any = self._tokens.get(data)
+        self._follow_directory()
+        route = self._routes.get(data)
+        if route is None:
+            token = self._token(data)
+            route = (token, self._directory.owner(now_ms, token))
+            # While peers are being learned, the owner depends on the time.
+            if not self._directory.learning(now_ms):
+                if len(self._routes) >= MAX_CACHED_TOKENS:
+                    self._routes.clear()
+                self._routes[data] = route
+        return route
+
+    def _follow_directory(self) -> None:
+        """Drop what was decided for an older version of the directory."""
+        if self._routes_version != self._directory.version:
+            self._routes_version = self._directory.version
+            self._routes.clear()
+            self._packet_homes.clear()
+
+    def _token(self, data: bytes) -> Token:
+        token = self._tokens.get(data)
         if token is None:
             try:
                 token = self._ctx.tokens.decode(data)
--- a/src/cyclamenridge/node/forwarding.py
+++ b/src/cyclamenridge/node/forwarding.py
@@ -9,8 +9,9 @@
 from cyclamenridge import errors
 
 FORWARDED = 2
-_HEADER = struct.Struct(">B4sH8s")
+_HEADER = struct.Struct(">B4sH")
 _MAC_BYTES = 8
+_BODY_START = _HEADER.size + _MAC_BYTES
 
 
 class ForwardCodec:
@@ -20,35 +21,40 @@
     """
 
     def __init__(self, keys: tuple[bytes, ...]) -> None:
-        self._keys = keys
+        # Copying a keyed state is cheaper than keying a new one.
+        self._macs = tuple(
+            hashlib.blake2b(key=key, digest_size=_MAC_BYTES) for key in keys
+        )
 
     def wrap(self, source: address_lib.Address, data: bytes) -> bytes:
         """Return the datagram to send to the owner's peer port."""
-        host = socket.inet_aton(source.host)
-        mac = _mac(self._keys[0], host, source.port, data)
-        return _HEADER.pack(FORWARDED, host, source.port, mac) + data
+        header = _HEADER.pack(
+            FORWARDED, socket.inet_aton(source.host), source.port
+        )
+        mac = self._macs[0].copy()
+        mac.update(header)
+        mac.update(data)
+        return header + mac.digest() + data
 
     def unwrap(self, data: bytes) -> tuple[address_lib.Address, bytes]:
         """Verify a forwarded datagram.
 
         :return: the caller's address and its datagram
         """
-        if len(data) < _HEADER.size:
+        if len(data) < _BODY_START:
             raise errors.WireError("forwarded datagram is too short")
-        first, host, port, mac = _HEADER.unpack_from(data)
+        first, host, port = _HEADER.unpack_from(data)
         if first != FORWARDED:
             raise errors.WireError(f"first byte is {first}")
-        inner = data[_HEADER.size :]
-        if not any(
-            hmac.compare_digest(_mac(key, host, port, inner), mac)
-            for key in self._keys
-        ):
-            raise errors.WireError("forwarded datagram is not authentic")
-        return address_lib.Address(socket.inet_ntoa(host), port), inner
-
-
-def _mac(key: bytes, host: bytes, port: int, data: bytes) -> bytes:
-    digest = hashlib.blake2b(key=key, digest_size=_MAC_BYTES)
-    digest.update(struct.pack(">B4sH", FORWARDED, host, port))
-    digest.update(data)
-    return digest.digest()
+        inner = data[_BODY_START:]
+        received = data[_HEADER.size : _BODY_START]
+        for keyed in self._macs:
+            mac = keyed.copy()
+            mac.update(data[: _HEADER.size])
+            mac.update(inner)
+            if hmac.compare_digest(mac.digest(), received):
+                return (
+                    address_lib.Address(socket.inet_ntoa(host), port),
+                    inner,
+                )
+        raise errors.WireError("forwarded datagram is not authentic")
--- a/src/cyclamenridge/session/owner.py
+++ b/src/cyclamenridge/session/owner.py
@@ -1,8 +1,5 @@
 """Sessions granted by this node and the outcomes of their requests."""
 
-import collections
-from collections.abc import Iterator
-
 from cyclamenridge import address as address_lib
 from cyclamenridge.node import context as context_lib
 from cyclamenridge.node import services as services_lib
@@ -14,9 +11,9 @@
 from cyclamenridge.session import parts as parts_lib
 from cyclamenridge.session import replies as replies_lib
 from cyclamenridge.session import state as state_lib
+from cyclamenridge.session import table as table_lib
 from cyclamenridge.session import window as window_lib
 from cyclamenridge.wire import caller
-from cyclamenridge.wire import token as token_lib
 
 Address = address_lib.Address
 Outcome = caller.Outcome
@@ -25,9 +22,6 @@
 Session = state_lib.Session
 Phase = window_lib.Phase
 
-SESSION_IDLE_MS = 120_000
-# A session is about 1 KB without payloads; a node has 128 MB.
-MAX_SESSIONS = 50_000
 # A record without payload, with its place in the table.
 RECORD_BYTES = 400
 # How long a planned stop waits for the acknowledgement of an answer.
@@ -42,23 +36,13 @@
         self, ctx: context_lib.Context, services: services_lib.Services
     ) -> None:
         self._ctx = ctx
-        self._services = services
-        # Ordered by last use.
-        self._sessions: collections.OrderedDict[int, Session] = (
-            collections.OrderedDict()
-        )
-        self._opened: dict[tuple[str, str, int, Address], int] = {}
+        self.table = table_lib.SessionTable(ctx, services)
         self._partial: dict[scheduling.RequestKey, Record] = {}
         self._lingering: dict[scheduling.RequestKey, Record] = {}
         self._memory = memory_lib.Memory()
         self.replies = replies_lib.ReplySender(ctx)
         self.executor: execution.Executor
 
-    @property
-    def session_count(self) -> int:
-        """Number of sessions."""
-        return len(self._sessions)
-
     @property
     def buffered_bytes(self) -> int:
         """Memory charged for records and payloads."""
@@ -77,63 +61,6 @@
             del self._lingering[key]
         return False
 
-    def get(self, now_ms: int, ident: int) -> Session | None:
-        """Return a session and note that it was used."""
-        session = self._sessions.get(ident)
-        if session is not None:
-            session.used_ms = now_ms
-            self._sessions.move_to_end(ident)
-        return session
-
-    def open(
-        self, now_ms: int, source: Address, msgid: int, params: caller.Open
-    ) -> None:
-        """Grant a session, or the same one again for a resend."""
-        opened_by = (params.service, params.customer, params.nonce, source)
-        known = self._opened.get(opened_by)
-        if known is not None:
-            session = self._sessions[known]
-            self._ctx.respond(source, msgid, caller.Grant(session.token))
-            return
-        if self._ctx.leaving:
-            self._ctx.refuse(source, msgid, Reason.LEAVING, 100)
-            return
-        cfg = self._ctx.config
-        if cfg is None:
-            self._ctx.refuse(source, msgid, Reason.NO_SERVER, 500)
-            return
-        if (
-            params.service not in cfg.services
-            or params.customer not in cfg.customers
-        ):
-            self._ctx.refuse(source, msgid, Reason.BAD_REQUEST)
-            return
-        if len(self._sessions) >= MAX_SESSIONS:
-            self._ctx.refuse(
-                source, msgid, Reason.OVERLOADED, _OVERLOADED_RETRY_MS
-            )
-            return
-        runtime = self._services.acquire(now_ms, params.service)
-        assert runtime is not None
-        runtime.users += 1
-        me = self._ctx.me
-        ident = self._ctx.rng.getrandbits(64)
-        token = self._ctx.tokens.encode(
-            token_lib.Token(
-                type=token_lib.TokenType.SESSION,
-                service=token_lib.name_hash(params.service),
-                owner=me.peer_address,
-                incarnation=me.incarnation,
-                ident=ident,
-            )
-        )
-        self._sessions[ident] = Session(
-            ident, params.service, params.customer, token, opened_by, now_ms
-        )
-        self._opened[opened_by] = ident
-        self._ctx.counters["sessions_opened"] += 1
-        self._ctx.respond(source, msgid, caller.Grant(token))
-
     def call(
         self,
         now_ms: int,
@@ -143,7 +70,7 @@
         ident: int,
     ) -> None:
         """Take one part of a request."""
-        session = self.get(now_ms, ident)
+        session = self.table.use(now_ms, ident)
         if session is None:
             self.replies.unknown(
                 source, msgid, params.seq, params.check, Reason.OWNER_LOST
@@ -183,7 +110,7 @@
         ident: int,
     ) -> None:
         """Abandon a request; one that has not arrived is refused later."""
-        session = self.get(now_ms, ident)
+        session = self.table.use(now_ms, ident)
         if session is None:
             self.replies.unknown(
                 source, msgid, params.seq, 0, Reason.OWNER_LOST
@@ -224,7 +151,7 @@
 
     def ack(self, now_ms: int, params: caller.Ack, ident: int) -> None:
         """Send further parts of an answer, or free it."""
-        session = self.get(now_ms, ident)
+        session = self.table.use(now_ms, ident)
         if session is None:
             return
         record = session.window.records.get(params.seq)
@@ -243,7 +170,7 @@
 
     def close(self, now_ms: int, ident: int) -> None:
         """End a session; what is queued is not run."""
-        session = self._sessions.get(ident)
+        session = self.table.get(ident)
         if session is not None:
             self._remove(now_ms, session)
 
@@ -257,7 +184,7 @@
         payload: bytes,
     ) -> None:
         """Keep the outcome of a request and tell the caller."""
-        session = self._sessions.get(key.session_id)
+        session = self.table.get(key.session_id)
         if session is None:
             return
         record = session.window.records.get(key.seq)
@@ -281,7 +208,7 @@
     def stop_partial(self, now_ms: int, reason: Reason) -> None:
         """Refuse all requests that have not arrived whole."""
         for key, record in list(self._partial.items()):
-            session = self._sessions[key.session_id]
+            session = self.table[key.session_id]
             self._close(now_ms, session, record, Outcome.NOT_RUN, reason)
 
     def tick(self, now_ms: int) -> None:
@@ -290,25 +217,18 @@
             if now_ms >= record.deadline_ms:
                 self._close(
                     now_ms,
-                    self._sessions[key.session_id],
+                    self.table[key.session_id],
                     record,
                     Outcome.NOT_RUN,
                     Reason.EXPIRED,
                 )
-        for session in self._idle(now_ms):
+        for session in self.table.idle(now_ms):
             if session.in_progress:
-                self.get(now_ms, session.ident)
+                self.table.use(now_ms, session.ident)
             else:
                 self._ctx.counters["sessions_expired"] += 1
                 self._remove(now_ms, session)
 
-    def _idle(self, now_ms: int) -> Iterator[Session]:
-        while self._sessions:
-            session = next(iter(self._sessions.values()))
-            if now_ms - session.used_ms < SESSION_IDLE_MS:
-                return
-            yield session
-
     def _accept(
         self,
         now_ms: int,
@@ -478,8 +398,7 @@
         self.replies.send(now_ms, record)
 
     def _remove(self, now_ms: int, session: Session) -> None:
-        del self._sessions[session.ident]
-        del self._opened[session.opened_by]
+        self.table.remove(session)
         self._memory.release(session)
         for record in session.window.records.values():
             key = scheduling.RequestKey(session.ident, record.seq)
@@ -487,6 +406,3 @@
             self._lingering.pop(key, None)
             if record.phase is Phase.ACTIVE:
                 self.executor.cancel(now_ms, key, Reason.CANCELLED)
-        runtime = self._services.get(session.service)
-        if runtime is not None:
-            runtime.users -= 1
--- /dev/null
+++ b/tests/feed/test_flow.py
@@ -0,0 +1,53 @@
+from cyclamenridge import address
+from cyclamenridge.feed import flow as flow_lib
+from cyclamenridge.wire import caller
+from tests.node import world as world_lib
+
+
+def make_feed():
+    feed = flow_lib.Feed(
+        1,
+        kind="door",
+        customer="outfit",
+        epoch=1,
+        create=True,
+        source=address.Address("10.0.0.1", 5000),
+        last_seq=0,
+        now_ms=0,
+    )
+    feed.confirmed = True
+    return feed
+
+
+def test_quiet_feed_costs_its_server_nothing():
+    """Guards against a message to the server for each keepalive."""
+    feed = make_feed()
+    assert not feed.needs_attach(10_000, mine=True)
+    feed.sent_seq = 1
+    assert feed.needs_attach(10_000, mine=True)
+    feed.attach_ms = 9_500
+    assert not feed.needs_attach(10_000, mine=True)
+
+
+def test_resent_subscription_finds_its_feed():
+    """Guards against a second flow when the grant was lost."""
+    world = world_lib.World()
+    session = world.open()
+    feed = world.subscribe(session)
+    params = caller.Subscribe(session.token, "door", feed.nonce, 0)
+    for _ in range(3):
+        world.caller.ask("subscribe", params, feed)
+    world.fleet.run(500)
+    servers = world.fleet.servers.values()
+    assert sum(len(server.model.flows) for server in servers) == 1
+
+
+def test_closed_feed_is_detached():
+    """Guards against flows that stay at their server without a caller."""
+    world = world_lib.World()
+    feed = world.subscribe(world.open())
+    world.caller.feeds.clear()
+    world.fleet.run(70_000)
+    servers = world.fleet.servers.values()
+    assert not sum(len(server.model.flows) for server in servers)
+    assert feed.ident is not None
--- /dev/null
+++ b/tests/session/test_limits.py
@@ -0,0 +1,50 @@
+"""Memory held for callers is bounded."""
+
+from cyclamenridge.session import memory as memory_lib
+from cyclamenridge.wire import caller
+from tests.node import world as world_lib
+
+
+def sessions_of(world, session):
+    """Return the session owner behind a token."""
+    node = world.fleet.nodes[world.owner(session.token)]
+    return node.core._sessions
+
+
+def test_payloads_beyond_the_limit_are_not_run(monkeypatch):
+    """Guards against a node that runs out of memory by open requests."""
+    monkeypatch.setattr(memory_lib, "MAX_NODE_BYTES", 60_000)
+    world = world_lib.World()
+    session = world.open()
+    owner = sessions_of(world, session)
+    for _ in range(10):
+        world.caller.call(session, "dump", 20_000)
+        world.fleet.run(20)
+        assert owner.buffered_bytes <= 60_000
+    world.fleet.run(8000)
+    assert world.oracle.outcomes[caller.Outcome.NOT_RUN] > 0
+    assert world.oracle.outcomes[caller.Outcome.ANSWERED] > 0
+    world.oracle.verify()
+
+
+def test_memory_is_given_back():
+    """Guards against a slow leak by answered and acknowledged requests."""
+    world = world_lib.World()
+    session = world.open()
+    owner = sessions_of(world, session)
+    for _ in range(300):
+        world.finish(world.caller.call(session, "dump", 3000))
+    world.fleet.run(500)
+    assert owner.buffered_bytes <= 2000
+    world.fleet.run(130_000)
+    assert owner.buffered_bytes == 0
+    assert len(owner.table) == 0
+
+
+def test_too_large_request_is_refused():
+    """Guards against requests above the configured size of their kind."""
+    world = world_lib.World()
+    session = world.open()
+    request = world.caller.call(session, "change", 4200)
+    assert world.finish(request) is caller.Outcome.NOT_RUN
+    assert request.reason is caller.Reason.TOO_LARGE
