Add the datapath experiment

The rate of the balancer process is compared with a bare asyncio forwarder and, as a stricter baseline, with a forwarder on the balancer's own socket adapter.

--- a/benchmarks/forwarder.py
+++ b/benchmarks/forwarder.py
@@ -1,12 +1,16 @@
-"""Bare asyncio datagram forwarder, the baseline of ``datapath``."""
+"""Bare datagram forwarders on the asyncio loop, baselines of ``datapath``."""
 
 import asyncio
+import collections
 from typing import Annotated
 from typing import cast
 
 import typer
 
-from cyclamenridge import address as address_lib
+from cyclamenridge.adapters import udp
+import cyclamenridge.address as address_lib
+
+_MAX_BYTES = 1472
 
 
 class _Forwarder(asyncio.DatagramProtocol):
@@ -22,11 +26,22 @@
         self._transport.sendto(data, self._dest)
 
 
-async def _run(listen: address_lib.Address, dest: address_lib.Address) -> None:
-    loop = asyncio.get_running_loop()
-    await loop.create_datagram_endpoint(
-        lambda: _Forwarder(dest.as_tuple()), local_addr=listen.as_tuple()
-    )
+async def _run(
+    listen: address_lib.Address, dest: address_lib.Address, batch: bool
+) -> None:
+    if batch:
+        port = udp.UdpDatagrams(
+            listen,
+            name="bare",
+            max_bytes=_MAX_BYTES,
+            counters=collections.Counter(),
+        )
+        port.open(lambda source, data: port.send(dest, data))
+    else:
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: _Forwarder(dest.as_tuple()), local_addr=listen.as_tuple()
+        )
     print("ready", flush=True)
     await asyncio.Event().wait()
 
@@ -35,11 +50,16 @@
     *,
     listen: Annotated[str, typer.Option(help="HOST:PORT")],
     dest: Annotated[str, typer.Option(help="HOST:PORT")],
+    batch: Annotated[
+        bool, typer.Option(help="Use the socket adapter of the balancer.")
+    ] = False,
 ) -> None:
     """Send each datagram that arrives to one destination."""
     asyncio.run(
         _run(
-            address_lib.Address.parse(listen), address_lib.Address.parse(dest)
+            address_lib.Address.parse(listen),
+            address_lib.Address.parse(dest),
+            batch,
         )
     )
 
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -201,6 +201,11 @@
                 {"max_bytes": 1_000_000, "deadline_ms": 30_000},
             ),
         }
+        kinds = {
+            kind: entry
+            for kind, entry in kinds.items()
+            if entry[0] in services
+        }
         return {
             "deployment": "demo",
             "failure_domains": {
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -47,6 +47,10 @@
         self._started[name] = process
         return process.pid
 
+    def pid(self, name: str) -> int:
+        """Return the id of a process."""
+        return self._started[name].pid
+
     def log(self, name: str) -> str:
         """Return what a process has printed."""
         data = (self.log_dir / f"{name}.log").read_bytes()
