--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -13,12 +13,12 @@
 
 import cyclamenridge.clock as clock_lib
 from demo import account as account_lib
+from demo import caller_processes as callers_lib
 from demo import deployment as deployment_lib
 
 CALLERS = 3
 KILL_PART = 0.35
 DRAIN_PART = 0.6
-_CALLER_END_S = 25.0
 _STOP_MARGIN_S = 5.0
 
 
@@ -28,7 +28,6 @@
     def __init__(
         self, directory: pathlib.Path, *, seed: int, seconds: float
     ) -> None:
-        self._directory = directory
         self._seed = seed
         self._seconds = seconds
         self._rng = random.Random(seed)
@@ -55,8 +54,10 @@
         self._say(f"config apply: {dep.apply()}")
         dep.wait_serving()
         self._say("all balancers have revision 1 and all links")
-        for number in range(1, CALLERS + 1):
-            self._start_caller(number)
+        work = callers_lib.CallerProcesses(
+            dep, "caller", count=CALLERS, seconds=self._seconds
+        )
+        work.start()
         begin_s = time.monotonic()
         self._say(f"{CALLERS} caller processes run feeds and requests")
         victim = self._rng.choice(dep.balancers)
@@ -70,9 +71,7 @@
         self._sleep_until(begin_s + self._seconds * DRAIN_PART)
         dep.signal(server.name, signal.SIGUSR1)
         self._say(f"drained backend server {server.name}")
-        reports = [
-            self._caller_report(number) for number in range(1, CALLERS + 1)
-        ]
+        reports = work.reports()
         self._say("all callers are done")
         stop_codes = self._stop_balancers(victim)
         self._say(f"planned stop of the other balancers: exit {stop_codes}")
@@ -85,8 +84,9 @@
         return account_lib.check(
             reports,
             records,
-            killed_owner=str(victim.peer),
-            killed_ms=killed_ms,
+            faults=(
+                account_lib.Fault(str(victim.peer), killed_ms, killed_ms),
+            ),
             stop_codes=stop_codes,
             codec=dep.codec,
             seed=self._seed,
@@ -101,36 +101,6 @@
         limit_s = dep.stop_ms / 1000 + _STOP_MARGIN_S
         return [dep.processes.wait(b.name, limit_s) for b in others]
 
-    def _start_caller(self, number: int) -> None:
-        dep = self._deployment
-        balancers = [f"--balancer={b.caller}" for b in dep.balancers]
-        dep.processes.start(
-            f"caller-{number}",
-            "demo.callers",
-            f"--name=caller-{number}",
-            f"--customer={deployment_lib.CUSTOMERS[number - 1]}",
-            f"--seed={self._seed}",
-            f"--seconds={self._seconds}",
-            f"--output={self._report_path(number)}",
-            *balancers,
-        )
-
-    def _caller_report(self, number: int) -> account_lib.CallerReport:
-        processes = self._deployment.processes
-        name = f"caller-{number}"
-        code = processes.wait(name, self._seconds + _CALLER_END_S)
-        if code:
-            raise RuntimeError(
-                f"{name} ended with {code}: {processes.log(name)[-800:]}"
-            )
-        return msgspec.json.decode(
-            self._report_path(number).read_bytes(),
-            type=account_lib.CallerReport,
-        )
-
-    def _report_path(self, number: int) -> pathlib.Path:
-        return self._directory / f"caller-{number}.json"
-
     def _say(self, text: str) -> None:
         elapsed_s = time.monotonic() - self._started_s
         typer.echo(f"{elapsed_s:6.2f} s  {text}")
--- a/demo/account.py
+++ b/demo/account.py
@@ -3,6 +3,7 @@
 import base64
 import collections
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 import msgspec
 
@@ -52,6 +53,17 @@
     feeds: list[FeedRecord]
 
 
+class Fault(msgspec.Struct, frozen=True):
+    """A balancer that did not answer for a time.
+
+    :param owner: peer address of the balancer
+    """
+
+    owner: str
+    from_ms: int
+    to_ms: int
+
+
 class Account(msgspec.Struct, frozen=True):
     """Last line of the demo.
 
@@ -82,8 +94,7 @@
     reports: Iterable[CallerReport],
     servers: Iterable[server_lib.RunRecords],
     *,
-    killed_owner: str,
-    killed_ms: int,
+    faults: Sequence[Fault],
     stop_codes: list[int],
     codec: token_lib.TokenCodec,
     seed: int,
@@ -91,7 +102,8 @@
 ) -> Account:
     """Return the account of a run.
 
-    :param killed_owner: peer address of the balancer that was killed
+    :param faults: balancers that were killed or paused; only requests in
+        progress at one of them may be unknown
     :param stop_codes: exit codes of the balancers that were stopped
     """
     reports = list(reports)
@@ -128,10 +140,12 @@
             if not req.answer_ok:
                 findings.append(f"{req.name} got a wrong answer")
         if req.outcome == "unknown":
-            owner = codec.decode(base64.b64decode(req.token)).owner
-            if str(owner) != killed_owner or not (
-                req.started_ms <= killed_ms + DEAD_LIMIT_MS
-                and req.ended_ms >= killed_ms
+            owner = str(codec.decode(base64.b64decode(req.token)).owner)
+            if not any(
+                owner == fault.owner
+                and req.started_ms <= fault.to_ms + DEAD_LIMIT_MS
+                and req.ended_ms >= fault.from_ms
+                for fault in faults
             ):
                 findings.append(
                     f"{req.name} is unknown ({req.reason}) without a cause"
--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -137,7 +137,7 @@
             "listen": str(server.address),
             "event-interval-ms": str(self.event_interval_ms),
             "seed": str(self.seed),
-            "records": str(self.directory / f"{server.name}.json"),
+            "records": str(self._records_path(server)),
             **options,
         }
         self.processes.start(
@@ -286,21 +286,38 @@
         """Send a signal to a process of the deployment."""
         self.processes.signal(name, signum)
 
+    def server_records(self) -> list[server_lib.RunRecords]:
+        """Return the run records of the servers, which go on."""
+        for server in self.servers:
+            self._records_path(server).unlink(missing_ok=True)
+            self.signal(server.name, signal.SIGUSR2)
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        while not all(self._records_path(s).exists() for s in self.servers):
+            if time.monotonic() > deadline_s:
+                raise RuntimeError("a server did not write its run record")
+            time.sleep(_POLL_S)
+        return self._read_records()
+
     def stop_servers(self) -> list[server_lib.RunRecords]:
         """Stop the servers and return their run records."""
-        records = []
         for server in self.servers:
             if self.processes.running(server.name):
                 self.signal(server.name, signal.SIGTERM)
         for server in self.servers:
-            self.processes.wait(server.name, 5)
-            path = self.directory / f"{server.name}.json"
-            records.append(
-                msgspec.json.decode(
-                    path.read_bytes(), type=server_lib.RunRecords
-                )
+            self.processes.wait(server.name, START_TIMEOUT_S)
+        return self._read_records()
+
+    def _records_path(self, server: Server) -> pathlib.Path:
+        return self.directory / f"{server.name}.json"
+
+    def _read_records(self) -> list[server_lib.RunRecords]:
+        return [
+            msgspec.json.decode(
+                self._records_path(server).read_bytes(),
+                type=server_lib.RunRecords,
             )
-        return records
+            for server in self.servers
+        ]
 
 
 def post(url: str, body: dict) -> None:
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -1,7 +1,7 @@
 """Backend server process: ``python -m tests.standins.server --help``.
 
-SIGUSR1 starts a drain. SIGTERM and SIGINT write the run record and end the
-process with exit code 0.
+SIGUSR1 starts a drain. SIGUSR2 writes the run record. SIGTERM and SIGINT
+write it and end the process with exit code 0.
 """
 
 import asyncio
@@ -130,18 +130,34 @@
         self._arm()
 
 
-async def _run(server: Server, address: address_lib.Address) -> None:
+async def _run(
+    server: Server, address: address_lib.Address, path: pathlib.Path | None
+) -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     loop.add_signal_handler(signal.SIGINT, stopped.set)
     loop.add_signal_handler(signal.SIGUSR1, server.drain)
+    loop.add_signal_handler(
+        signal.SIGUSR2, lambda: _write(server.records(), path)
+    )
     await server.start(address)
     print("ready", flush=True)
     await stopped.wait()
     await server.stop()
 
 
+def _write(records: RunRecords, path: pathlib.Path | None) -> None:
+    data = msgspec.json.encode(records)
+    if path is None:
+        print(data.decode(), flush=True)
+        return
+    # A reader must not see a part of the file.
+    part = path.with_suffix(".part")
+    part.write_bytes(data)
+    part.replace(path)
+
+
 def main(
     *,
     service: Annotated[str, typer.Option()],
@@ -192,12 +208,8 @@
     )
     address = address_lib.Address.parse(listen)
     process = Server(model, clock)
-    asyncio.run(_run(process, address))
-    data = msgspec.json.encode(process.records())
-    if records is None:
-        print(data.decode(), flush=True)
-    else:
-        records.write_bytes(data)
+    asyncio.run(_run(process, address, records))
+    _write(process.records(), records)
 
 
 if __name__ == "__main__":
