Tell leaving servers to home sets that do not watch the list

Cause: only three balancers of a failure domain watch the platform's list, so in a larger fleet a home set may have none of them and would give new work to a server that only the list calls leaving. The list of a balancer that stopped watching was kept for ever, and the relay of packets asked the services for a method that no longer exists while a link was down. Change: watchers of two failure domains tell the home set once a second, as a demand without slots; the list is dropped with the watch; the relay uses the state of its own links.

--- a/src/cyclamenridge/node/core.py
+++ b/src/cyclamenridge/node/core.py
@@ -321,6 +321,9 @@
     def _apply(self, now_ms: int, output: control.Output) -> None:
         """Carry out a step of the control plane."""
         self._ctx.effects.extend(output.effects)
+        if effects_lib.WatchStore(active=False) in output.effects:
+            # The list is not kept up to date any more.
+            self._services.instances(now_ms, ())
         adopted = output.adopted is not None and self._adopt(
             output.adopted.body, output.adopted.revision
         )
--- a/src/cyclamenridge/node/packets.py
+++ b/src/cyclamenridge/node/packets.py
@@ -26,6 +26,10 @@
 # Flows of one service; about 30 MB.
 MAX_FLOWS = 200_000
 FLOW_IDLE_MS = 60_000
+# A server whose link is down gets no new flows after the first time, and
+# loses its flows after the second one.
+AVOID_SERVER_MS = 3_000
+FORGET_SERVER_MS = 30_000
 # Flows that are looked at in one tick after a change; below 10 ms of work.
 SCAN_STEP = 2_000
 
@@ -137,7 +141,7 @@
             relay.members = members
             relay.outbox.clear()
             relay.router.set_members(now_ms, members)
-        usable, known = self._servers(service)
+        usable, known = self._servers(now_ms, service)
         if (usable, known) != (relay.usable, relay.known):
             for name in set(relay.known) - set(known):
                 relay.router.forget_server(name)
@@ -145,8 +149,10 @@
             relay.outbox.clear()
             relay.router.set_servers(now_ms, usable, known)
 
-    def _servers(self, service: str) -> tuple[tuple[str, ...], ...]:
-        """Return the servers for new flows and all servers."""
+    def _servers(
+        self, now_ms: int, service: str
+    ) -> tuple[tuple[str, ...], ...]:
+        """Return the servers for new flows and all servers with flows."""
         cfg = self._ctx.config
         runtime = self._services.get(service)
         if cfg is None or service not in cfg.services:
@@ -154,7 +160,7 @@
         known = sorted(
             name
             for name in cfg.services[service].servers
-            if not self._is_gone(ServerRef(service, name))
+            if self._down_ms(now_ms, service, name) < FORGET_SERVER_MS
         )
         servers = cfg.services[service].servers
         drains = runtime.drains if runtime is not None else {}
@@ -163,15 +169,15 @@
             for name in known
             if servers[name].state is model.ServerState.ACTIVE
             and not drains.get(name)
+            and self._down_ms(now_ms, service, name) < AVOID_SERVER_MS
         ]
         return tuple(usable), tuple(known)
 
-    def _is_gone(self, ref: ServerRef) -> bool:
-        """Tell whether a server is gone; a link that works says it is not.
-
-        The platform's list lags, and its flows would be forgotten.
-        """
-        return self._links.identity(ref) is None and self._services.gone(ref)
+    def _down_ms(self, now_ms: int, service: str, name: str) -> int:
+        link = self._links.get(ServerRef(service, name))
+        if link is None or link.up:
+            return 0
+        return now_ms - link.down_since_ms
 
 
 class _ServiceRelay:
--- a/src/cyclamenridge/node/services.py
+++ b/src/cyclamenridge/node/services.py
@@ -9,6 +9,7 @@
 from cyclamenridge.node import directory as directory_lib
 from cyclamenridge.node import events
 from cyclamenridge.node import links as links_lib
+from cyclamenridge.routing import rendezvous
 from cyclamenridge.scheduling import scheduler as scheduler_lib
 from cyclamenridge.scheduling import types as scheduling
 from cyclamenridge.wire import backend
@@ -20,6 +21,11 @@
 # session and feed, so that short changes of the home set do not reopen
 # all links.
 RELEASE_MS = 30_000
+# A balancer that watches the platform's list tells leaving servers once a
+# second; this many lost messages in a row leave the mark in place.
+TOLD_LEAVING_MS = 5_000
+# Failure domains whose watchers tell the leaving servers of a service.
+TELLING_DOMAINS = 2
 # How long a lost link to a removed server is tried again.
 REMOVED_DOWN_MS = 10_000
 
@@ -59,6 +65,7 @@
         self._rng = rng
         self._runtimes: dict[str, Runtime] = {}
         self._listed: dict[ServerRef, str] = {}
+        self._told_leaving: dict[ServerRef, int] = {}
 
     def runtimes(self) -> tuple[Runtime, ...]:
         """Return all services that are served here."""
@@ -121,6 +128,10 @@
         cfg = self._ctx.config
         if cfg is None:
             return
+        for ref, until_ms in list(self._told_leaving.items()):
+            if now_ms >= until_ms:
+                del self._told_leaving[ref]
+                self._drain(now_ms, ref, "peers", False)
         for runtime in list(self._runtimes.values()):
             service = cfg.services.get(runtime.name)
             if runtime.users or (service and self._in_home(runtime.name)):
@@ -150,17 +161,55 @@
                         runtime.scheduler.demand(now_ms), others
                     )
                 )
+        out.extend(self._leaving_notices())
         return tuple(out)
 
+    def _leaving_notices(self) -> list[control.DemandTarget]:
+        """Return what home sets are told that do not watch the list.
+
+        Only a few balancers watch the platform's list, so the home set of
+        a service may have none of them.
+        """
+        leaving: dict[str, list[str]] = {}
+        for ref, state in self._listed.items():
+            if state == events.InstanceState.LEAVING:
+                leaving.setdefault(ref.service, []).append(ref.server)
+        out = []
+        for service, names in leaving.items():
+            members = tuple(
+                member.name for member in self._directory.home(service)
+            )
+            if self._tells(service) and self._ctx.me.name not in members:
+                demand = scheduling.ServiceDemand(
+                    service, (), tuple(sorted(names))
+                )
+                out.append(control.DemandTarget(demand, members))
+        return out
+
+    def _tells(self, service: str) -> bool:
+        cfg = self._ctx.config
+        if cfg is None:
+            return False
+        domains = rendezvous.ranked(service.encode(), cfg.failure_domains)
+        return self._ctx.me.failure_domain in domains[:TELLING_DOMAINS]
+
     def peer_demand(
         self, now_ms: int, received: control.DemandReceived
     ) -> None:
         """Hand the demand of another member to the scheduler."""
-        runtime = self._runtimes.get(received.demand.service)
-        if runtime is not None:
+        service = received.demand.service
+        runtime = self._runtimes.get(service)
+        if runtime is None:
+            return
+        if any(m.name == received.peer for m in self._directory.home(service)):
             runtime.scheduler.peer_demand(
                 now_ms, received.peer, received.demand
             )
+            return
+        for server in received.demand.draining:
+            ref = ServerRef(service, server)
+            self._told_leaving[ref] = now_ms + TOLD_LEAVING_MS
+            self._drain(now_ms, ref, "peers", True)
 
     def use_server(self, ref: ServerRef, count: int) -> None:
         """Count requests and feeds that need a server."""
--- a/tests/node/fleet.py
+++ b/tests/node/fleet.py
@@ -76,12 +76,14 @@
         copies=0.0,
         slow=0.0,
         event_interval_ms=700,
+        one_domain=False,
     ):
         self.rng = random.Random(seed)
         self.now_ms = 1000
         self.loss = loss
         self.copies = copies
         self.slow = slow
+        self.one_domain = one_domain
         self.nodes = {}
         self.servers = {}
         self.callers = {}
@@ -134,7 +136,7 @@
         node.exit_code = None
         node.paused = None
         me = homes.Balancer(
-            name, f"d{node.peer.host[-1]}", node.peer, node.incarnation
+            name, self.domain(node), node.peer, node.incarnation
         )
         seeds = tuple(n.peer for n in self.nodes.values() if n is not node)
         node.core = core_lib.NodeCore(
@@ -192,14 +194,17 @@
 
     def _list(self, node, core):
         if node.core is core:
-            self.feed(node, core, events.InstancesListed(self._instances()))
-            self.at(2000, self._list, node, core)
+            if node.watching:
+                listed = events.InstancesListed(self._instances())
+                self.feed(node, core, listed)
+            self.at(1000, self._list, node, core)
+
+    def domain(self, node):
+        return "d10" if self.one_domain else f"d{node.peer.host[-2:]}"
 
     def _instances(self):
         listed = [
-            events.ListedInstance(
-                n.name, "balancer", n.peer, f"d{n.peer.host[-1]}"
-            )
+            events.ListedInstance(n.name, "balancer", n.peer, self.domain(n))
             for n in self.nodes.values()
             if n.core is not None
         ]
