--- a/src/cyclamenridge/node/services.py
+++ b/src/cyclamenridge/node/services.py
@@ -59,6 +59,7 @@
         self._rng = rng
         self._runtimes: dict[str, Runtime] = {}
         self._listed: dict[ServerRef, str] = {}
+        self._listed_services: set[str] = set()
 
     def runtimes(self) -> tuple[Runtime, ...]:
         """Return all services that are served here."""
@@ -188,6 +189,14 @@
                 return ServerRef(service, name)
         return None
 
+    def gone(self, ref: ServerRef) -> bool:
+        """Tell whether the platform's list lacks a server.
+
+        The list lags. It ends no feed; only packets without a token
+        leave a server that cannot be reached either.
+        """
+        return ref.service in self._listed_services and ref not in self._listed
+
     def instances(
         self, now_ms: int, listed: tuple[events.ListedInstance, ...]
     ) -> None:
@@ -198,6 +207,7 @@
             for item in listed
             if item.role != "balancer"
         }
+        self._listed_services = {ref.service for ref in self._listed}
         for ref in before | set(self._listed):
             self._apply_listed(now_ms, ref)
 
--- a/tests/node/callers.py
+++ b/tests/node/callers.py
@@ -165,6 +165,10 @@
         params = caller.Keepalive(feed.token, feed.last_seq)
         self.ask("keepalive", params, feed, node)
 
+    def packet(self, service, node=None):
+        params = caller.Datagram(service, service.encode() + b":packet")
+        self.send(rpc.notification("datagram", params), node)
+
     def _tick(self):
         self.fleet.at(RESEND_MS, self._tick)
         now_ms = self.fleet.now_ms
@@ -274,7 +278,11 @@
         )
 
     def _event(self, message):
-        if message.method != "event":
+        if message.method == "datagram":
+            packet = msgspec.msgpack.decode(
+                message.params, type=caller.Datagram
+            )
+            self.oracle.packet(packet.service, packet.payload)
             return
         event = msgspec.msgpack.decode(message.params, type=caller.Event)
         for feed in self.feeds:
--- a/tests/node/chaos.py
+++ b/tests/node/chaos.py
@@ -73,6 +73,10 @@
             kind = "door" if session.service == "counter" else "proof"
             caller.subscribe(session, kind)
 
+    def packet(self):
+        caller = self.rng.choice(self.world.callers)
+        caller.packet(self.rng.choice(("counter", "album")))
+
     # Faults
 
     def live(self):
@@ -179,6 +183,11 @@
                 self.fleet.resume_node(name)
         if self.cut_ms and self.fleet.now_ms >= self.cut_ms:
             self.heal()
+        for ref, server in self.fleet.servers.items():
+            if server.model is not None:
+                for packet in server.model.datagrams:
+                    self.oracle.packet(ref.service, packet.payload)
+                server.model.datagrams.clear()
         self.oracle.verify()
 
     STEPS = (
@@ -186,6 +195,7 @@
         ("reuse_seq", 2),
         ("cancel", 3),
         ("subscribe", 4),
+        ("packet", 4),
         ("kill_node", 0.4),
         ("stop_node", 0.5),
         ("start_node", 2),
--- a/tests/node/fleet.py
+++ b/tests/node/fleet.py
@@ -76,6 +76,7 @@
         copies=0.0,
         slow=0.0,
         event_interval_ms=700,
+        work_ms=40,
     ):
         self.rng = random.Random(seed)
         self.now_ms = 1000
@@ -95,7 +96,7 @@
         self._conns = {}
         self._profile = server_model.Profile(
             slots=2,
-            default_ms=40,
+            default_ms=work_ms,
             event_interval_ms=event_interval_ms,
             queue_limit=1,
         )
@@ -307,6 +308,14 @@
             if conn.server is server:
                 self._reset(conn)
 
+    def reset_links(self, ref):
+        """Break all connections of a server that lives on."""
+        server = self.servers[ref]
+        for conn in list(self._conns.values()):
+            if conn.server is server:
+                server.model.disconnected(self.now_ms, conn.ident)
+                self._reset(conn)
+
     def drain_server(self, ref):
         server = self.servers[ref]
         if server.model is not None:
--- a/tests/node/oracle.py
+++ b/tests/node/oracle.py
@@ -71,6 +71,11 @@
         if key not in self.checks:
             self.violations.append(f"{key} was answered without a run")
 
+    def packet(self, service, payload):
+        """Take a packet at a server or back at its caller."""
+        if payload != service.encode() + b":packet":
+            self.violations.append(f"{service} got packet {payload}")
+
     def feed_lost(self, feed, alive):
         """Take the news that a feed is broken."""
         if alive:
--- a/tests/node/test_feed_survives.py
+++ b/tests/node/test_feed_survives.py
@@ -117,6 +117,20 @@
     assert_goes_on(world, feed)
 
 
+def test_new_link_takes_its_feeds_at_once():
+    """Guards against feeds that wait for the caller after a reset."""
+    world = world_lib.World()
+    feed = world.subscribe(world.open())
+    world.caller.feeds.clear()
+    owner, ref = world.owner(feed.token), world.server_of(feed)
+    sent = world.fleet.nodes[owner].core.counters
+    world.fleet.reset_links(ref)
+    world.fleet.run(300)
+    before = sent["events_sent"]
+    world.fleet.run(2000)
+    assert sent["events_sent"] >= before + 2
+
+
 def test_cut_between_owner_and_server_moves_the_feed():
     """Guards against a feed that waits for one broken path."""
     world = world_lib.World()
--- a/tests/node/test_planned_stop.py
+++ b/tests/node/test_planned_stop.py
@@ -9,11 +9,11 @@
 
 def test_requests_finish_and_the_exit_code_is_0():
     """Guards against requests cut by a stop."""
-    world = world_lib.World()
+    world = world_lib.World(work_ms=2000)
     session = world.open()
     owner = world.owner(session.token)
-    requests = [world.caller.call(session, "change") for _ in range(6)]
-    world.fleet.run(20)
+    requests = [world.caller.call(session, "change") for _ in range(4)]
+    world.fleet.run(50)
     world.fleet.stop_node(owner)
     for request in requests:
         assert world.finish(request) is Outcome.ANSWERED
@@ -49,12 +49,39 @@
     world.fleet.stop_node(owner)
     world.fleet.until(lambda: node.exit_code is not None)
     assert node.exit_code == 0
+    assert all(world.owner(feed.token) != owner for feed in feeds)
     for feed in feeds:
         last_seq = feed.last_seq
         world.fleet.run(3000)
         assert feed.last_seq > last_seq
         assert not feed.lost
-        assert world.owner(feed.token) != owner
+
+
+def test_leaving_node_hands_on_its_keepalives():
+    """Guards against feeds of callers that reach only the leaving node."""
+    world = world_lib.World()
+    feed = world.subscribe(world.open())
+    owner = world.owner(feed.token)
+    world.caller.nodes = [owner]
+    world.fleet.stop_node(owner)
+    world.fleet.until(lambda: world.owner(feed.token) != owner, 5000)
+    last_seq = feed.last_seq
+    world.fleet.run(3000)
+    assert feed.last_seq > last_seq
+
+
+def test_lost_answer_is_sent_again_before_the_exit():
+    """Guards against an answer that is lost with the process."""
+    world = world_lib.World()
+    session = world.open()
+    owner = world.owner(session.token)
+    world.fleet.block(owner, str(world.caller.address))
+    request = world.caller.call(session, "change")
+    world.fleet.run(100)
+    world.fleet.stop_node(owner)
+    world.fleet.run(1500)
+    world.fleet.heal()
+    assert world.finish(request) is Outcome.ANSWERED
 
 
 def test_rolling_restart_of_all_nodes():
--- a/tests/node/world.py
+++ b/tests/node/world.py
@@ -28,7 +28,9 @@
 }
 
 
-def body(servers=SERVERS, *, draining=(), nodes=5, home_set_size=3):
+def body(
+    servers=SERVERS, *, draining=(), nodes=5, home_set_size=3, kinds=KINDS
+):
     """Return a configuration file."""
     services = {}
     for ref, address in servers.items():
@@ -45,14 +47,14 @@
             "failure_domain": "d10",
             "state": "draining" if ref in draining else "active",
         }
-    kinds = {
+    kind_cfgs = {
         name: {
             "service": service,
             "mode": mode,
             "idempotent": idempotent,
             "max_bytes": max_bytes,
         }
-        for name, (service, mode, idempotent, max_bytes) in KINDS.items()
+        for name, (service, mode, idempotent, max_bytes) in kinds.items()
     }
     return yaml.safe_dump(
         {
@@ -62,9 +64,9 @@
                 for i in range(nodes)
             },
             "services": services,
-            "kinds": kinds,
+            "kinds": kind_cfgs,
             "customers": {"outfit": {}},
-            "precedence": list(KINDS),
+            "precedence": list(kinds),
         }
     )
 
