--- a/tests/node/fleet.py
+++ b/tests/node/fleet.py
@@ -309,11 +309,12 @@
                 self._reset(conn)
 
     def reset_links(self, ref):
-        """Break all connections of a server that lives on."""
+        """Break all connections of a server; what they held is lost."""
         server = self.servers[ref]
         for conn in list(self._conns.values()):
             if conn.server is server:
                 server.model.disconnected(self.now_ms, conn.ident)
+                conn.held["up"].clear()
                 self._reset(conn)
 
     def drain_server(self, ref):
--- a/tests/node/test_not_run_is_proved.py
+++ b/tests/node/test_not_run_is_proved.py
@@ -67,6 +67,23 @@
     world.oracle.verify()
 
 
+def test_fenced_request_runs_at_another_server():
+    """Guards against giving up, or running twice, what was not run."""
+    world = world_lib.World()
+    session = world.open()
+    owner = world.owner(session.token)
+    for ref in world_lib.SERVERS:
+        world.fleet.block(owner, ref.server)
+    request = world.caller.call(session, "change", node=owner)
+    world.fleet.run(300)
+    for ref in world_lib.SERVERS:
+        world.fleet.reset_links(ref)
+    world.fleet.run(200)
+    world.fleet.heal()
+    assert world.finish(request) is Outcome.ANSWERED
+    assert len(world.oracle.log) == 1
+
+
 def test_node_that_cannot_ask_the_owner_says_unknown():
     """Guards against "not_run" from a node that does not own the session."""
     world = world_lib.World()
