--- a/src/cyclamenridge/node/directory.py
+++ b/src/cyclamenridge/node/directory.py
@@ -37,6 +37,8 @@
         self._by_address: dict[Address, control.Member] = {}
         self._states: dict[str, MemberState] = {}
         self._homes: dict[str, tuple[homes.Balancer, ...]] = {}
+        # Failure domains with a balancer that is not dead.
+        self.failure_domains: frozenset[str] = frozenset()
         self.version = 0
 
     def start(self, now_ms: int) -> None:
@@ -138,6 +140,9 @@
         }
         present[self._me.name] = self._me
         balancers = tuple(present.values())
+        self.failure_domains = frozenset(
+            balancer.failure_domain for balancer in balancers
+        )
         self._homes = {
             name: homes.home_set(
                 name, service.home_set_size, balancers, _domains(service)
--- a/src/cyclamenridge/node/services.py
+++ b/src/cyclamenridge/node/services.py
@@ -187,10 +187,9 @@
         return out
 
     def _tells(self, service: str) -> bool:
-        cfg = self._ctx.config
-        if cfg is None:
-            return False
-        domains = rendezvous.ranked(service.encode(), cfg.failure_domains)
+        domains = rendezvous.ranked(
+            service.encode(), self._directory.failure_domains
+        )
         return self._ctx.me.failure_domain in domains[:TELLING_DOMAINS]
 
     def peer_demand(
--- a/tests/node/fleet.py
+++ b/tests/node/fleet.py
@@ -77,6 +77,7 @@
         slow=0.0,
         event_interval_ms=700,
         one_domain=False,
+        work_ms=40,
     ):
         self.rng = random.Random(seed)
         self.now_ms = 1000
@@ -97,7 +98,7 @@
         self._conns = {}
         self._profile = server_model.Profile(
             slots=2,
-            default_ms=40,
+            default_ms=work_ms,
             event_interval_ms=event_interval_ms,
             queue_limit=1,
         )
@@ -312,6 +313,15 @@
             if conn.server is server:
                 self._reset(conn)
 
+    def reset_links(self, ref):
+        """Break all connections of a server; what they held is lost."""
+        server = self.servers[ref]
+        for conn in list(self._conns.values()):
+            if conn.server is server:
+                server.model.disconnected(self.now_ms, conn.ident)
+                conn.held["up"].clear()
+                self._reset(conn)
+
     def drain_server(self, ref):
         server = self.servers[ref]
         if server.model is not None:
