Keep other work whole during floods; add balance and flood

Balancers took slots that others were about to use, so high kinds there found their own slots taken and ran out of retry budget. Credit saved by the floors took all slots of a balancer for up to half a second. The scheduler is split into modules of one job. New experiments balance and flood on a shared simulated fleet.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,7 @@
 import msgspec
 import typer
 
-EXPERIMENTS: tuple[str, ...] = ()
+EXPERIMENTS: tuple[str, ...] = ("balance", "flood")
 
 
 def main(
--- a/src/cyclamenridge/scheduling/retry.py
+++ b/src/cyclamenridge/scheduling/retry.py
@@ -4,6 +4,10 @@
 # server does not refuse its only request.
 MIN_TOKENS_PER_S = 1.0
 MAX_TOKENS = 20.0
+# Doubtful attempts leave this much, first for the own slots and then for
+# requests that a server seemed sure to have a slot for.
+OWN_KEEP = 4.0
+FOREIGN_KEEP = 8.0
 
 
 class RetryBudget:
@@ -13,7 +17,7 @@
     it back when the server runs the request, so only refused attempts cost.
     """
 
-    def __init__(self, now_ms: int, *, percent: float) -> None:
+    def __init__(self, now_ms: int, *, percent: float = 0.0) -> None:
         self.percent = percent
         self._tokens = MAX_TOKENS / 2
         self._updated_ms = now_ms
@@ -29,9 +33,13 @@
         """Add the part of a token that one request earns."""
         self._add(self.percent / 100)
 
-    def take(self) -> bool:
-        """Take a token; False when there is none."""
-        if self.percent <= 0 or self._tokens < 1:
+    def has(self, *, keep: float = 0.0) -> bool:
+        """Whether a token can be taken so that ``keep`` are left."""
+        return self.percent > 0 and self._tokens >= 1 + keep
+
+    def take(self, *, keep: float = 0.0) -> bool:
+        """Take a token; False when that leaves less than ``keep``."""
+        if not self.has(keep=keep):
             return False
         self._tokens -= 1
         return True
--- a/src/cyclamenridge/scheduling/scheduler.py
+++ b/src/cyclamenridge/scheduling/scheduler.py
@@ -1,23 +1,20 @@
 """Scheduler of one service at one balancer."""
 
-import collections
-import dataclasses
 import random
 
 from cyclamenridge.config import model
+from cyclamenridge.scheduling import attempts
+from cyclamenridge.scheduling import division
+from cyclamenridge.scheduling import options as options_lib
 from cyclamenridge.scheduling import picker
 from cyclamenridge.scheduling import queue
-from cyclamenridge.scheduling import retry
 from cyclamenridge.scheduling import servers
-from cyclamenridge.scheduling import shares
 from cyclamenridge.scheduling import types
 from cyclamenridge.scheduling import usage
 from cyclamenridge.wire import backend
 
 Reason = types.Reason
 
-SHARES_INTERVAL_MS = 500
-DEMAND_INTERVAL_MS = 1000
 # Part of the remaining time that a request may be expected to wait; the
 # rest is left for running it.
 MAX_WAIT_PART = 0.5
@@ -26,33 +23,8 @@
 # A link that is replaced is back within this time; until then requests
 # wait instead of being refused.
 NO_SERVER_GRACE_MS = 1000
-MIN_BUSY_HOLD_MS = 2
-MAX_BUSY_HOLD_MS = 100
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Options:
-    """Parts that experiments switch off to measure what they bring.
-
-    :param exchange: divide slots by the demands that members tell
-    :param foreign_slots: try servers outside the own slots
-    :param own_slots_only: hold back work when the own slots are in use
-    :param admission: refuse when the expected wait is too long
-    """
-
-    exchange: bool = True
-    foreign_slots: bool = True
-    own_slots_only: bool = True
-    admission: bool = True
-
-
-@dataclasses.dataclass(slots=True)
-class _Running:
-    request: types.QueuedRequest
-    server: servers.Server
-    started_ms: int
-    excluded: frozenset[str]
-    reserved_token: bool
+# A kind without a share is taken to get at least these slots in time.
+MIN_RATE_SLOTS = 0.25
 
 
 class ServiceScheduler:
@@ -65,27 +37,28 @@
         *,
         me: str,
         rng: random.Random,
-        options: Options = Options(),
+        options: options_lib.Options | None = None,
     ) -> None:
         self.service = service
-        self.counters: collections.Counter[str] = collections.Counter()
-        self._me = me
         self._rng = rng
-        self._options = options
-        self._picker = picker.FreeSlotPicker(rng)
-        self._members: tuple[str, ...] = (me,)
-        self._peers = shares.PeerDemands()
+        self._options = options or options_lib.Options()
         self._servers = servers.ServerTable()
-        self._running: dict[types.RequestKey, _Running] = {}
-        self._pending: list[types.Refusal] = []
-        self._budget: retry.RetryBudget | None = None
         self._usage = usage.KindUsage()
-        self._owned: dict[str, int] = {}
-        self._allocation = shares.Allocation({}, {})
-        self._own_demand: dict[str, float] = {}
-        self._demand_ms: int | None = None
-        self._shares_ms: int | None = None
+        self._division = division.SlotDivision(
+            service, me=me, options=self._options
+        )
+        self._attempts = attempts.Attempts(
+            self._servers,
+            self._division,
+            self._usage,
+            rng=rng,
+            options=self._options,
+        )
+        self.counters = self._attempts.counters
+        self._kinds: tuple[str, ...] = ()
+        self._queue_limit = 0
         self._served_ms: int | None = None
+        self._has_slots = False
         self._load_config(cfg)
         self._queue = queue.RankedQueue(
             self._kinds, shares=self._customer_shares
@@ -94,41 +67,28 @@
     # Configuration and membership
 
     def _load_config(self, cfg: model.Config) -> None:
-        self._service_cfg = cfg.services.get(self.service)
-        self._kind_cfg = {
+        service = cfg.services.get(self.service)
+        kinds = {
             name: cfg.kinds[name]
             for name in cfg.precedence
             if name in cfg.kinds
             and cfg.kinds[name].service == self.service
             and cfg.kinds[name].mode is not model.Mode.FEED
         }
-        self._kinds = tuple(self._kind_cfg)
+        self._kinds = tuple(kinds)
         self._customer_shares = {
             name: customer.share for name, customer in cfg.customers.items()
         }
-        configured = self._service_cfg.servers if self._service_cfg else {}
-        table = self._servers.by_name
-        for name in [name for name in table if name not in configured]:
-            if not table[name].up:
-                del table[name]
-            else:
-                table[name].draining.add(servers.DrainSource.CONFIG)
-        for name, server_cfg in configured.items():
-            if name not in table:
-                table[name] = servers.Server(
-                    name,
-                    slots=server_cfg.slots,
-                    connections=server_cfg.connections,
-                )
-            self._mark(
-                table[name],
-                servers.DrainSource.CONFIG,
-                server_cfg.state is model.ServerState.DRAINING,
-            )
+        self._servers.configure(service.servers if service else {})
         self._usage.set_kinds(self._kinds)
-        if self._budget is not None and self._service_cfg:
-            self._budget.percent = self._service_cfg.retry_percent
-        self._shares_ms = None
+        self._division.floors = {
+            name: kind.floor_percent / 100 for name, kind in kinds.items()
+        }
+        self._division.outdate()
+        if service:
+            self._queue_limit = service.queue_limit
+            self._attempts.slow_start_ms = service.slow_start_ms
+            self._attempts.retry_percent = service.retry_percent
 
     def reconfigure(
         self, now_ms: int, cfg: model.Config
@@ -141,7 +101,7 @@
         )
         refusals = []
         for entry in old:
-            if entry.request.kind in self._kind_cfg:
+            if entry.request.kind in self._kinds:
                 self._queue.push(entry)
             else:
                 refusals.append(
@@ -151,36 +111,25 @@
 
     def set_members(self, now_ms: int, members: tuple[str, ...]) -> None:
         """Set the home set of the service."""
-        self._members = tuple(sorted({*members, self._me}))
-        self._peers.keep(self._members)
-        self._shares_ms = None
+        self._division.set_members(members)
 
     def peer_demand(
         self, now_ms: int, peer: str, demand: types.ServiceDemand
     ) -> None:
         """Take in what another member told."""
-        if peer in self._members and peer != self._me:
-            self._peers.told(now_ms, peer, demand)
-            self._shares_ms = None
+        self._division.told(now_ms, peer, demand)
 
     def demand(self, now_ms: int) -> types.ServiceDemand:
         """Return what the other members are told, once a second."""
-        self._update_demand(now_ms)
-        own_sources = {servers.DrainSource.TOLD, servers.DrainSource.REPORT}
+        self._division.measure_demand(now_ms, self._usage, self._queue)
         return types.ServiceDemand(
             service=self.service,
             kinds=tuple(
                 types.KindDemand(kind, slots)
-                for kind, slots in self._own_demand.items()
+                for kind, slots in self._division.demand.items()
                 if slots > 0
             ),
-            draining=tuple(
-                sorted(
-                    server.name
-                    for server in self._servers.by_name.values()
-                    if server.draining & own_sources
-                )
-            ),
+            draining=self._servers.known_leaving(),
         )
 
     # Servers
@@ -190,12 +139,12 @@
     ) -> None:
         """Take in that the link to a server is up and checked."""
         self._servers.link_up(now_ms, server, identity)
-        self._shares_ms = None
+        self._division.outdate()
 
     def server_down(self, now_ms: int, server: str) -> None:
         """Take in that the link to a server is down."""
         self._servers.get(server).up = False
-        self._shares_ms = None
+        self._division.outdate()
 
     def server_load(
         self, now_ms: int, server: str, load: backend.Load
@@ -205,27 +154,14 @@
         before = bool(state.draining)
         state.report(now_ms, load)
         if before != bool(state.draining):
-            self._shares_ms = None
+            self._division.outdate()
 
     def server_draining(
         self, now_ms: int, server: str, draining: bool
     ) -> None:
         """Take in that a server is leaving, or no longer is."""
-        self._mark(
-            self._servers.get(server), servers.DrainSource.TOLD, draining
-        )
-
-    def _mark(
-        self,
-        server: servers.Server,
-        source: servers.DrainSource,
-        draining: bool,
-    ) -> None:
-        if draining:
-            server.draining.add(source)
-        else:
-            server.draining.discard(source)
-        self._shares_ms = None
+        self._servers.get(server).mark(servers.DrainSource.TOLD, draining)
+        self._division.outdate()
 
     # Requests
 
@@ -234,7 +170,7 @@
     ) -> types.Refusal | None:
         """Queue a request, or refuse it now."""
         self.counters["submitted"] += 1
-        if request.kind not in self._kind_cfg:
+        if request.kind not in self._kinds:
             return self._refuse(request.key, Reason.BAD_REQUEST, 0)
         if now_ms >= request.deadline_ms:
             return self._refuse(request.key, Reason.EXPIRED, 0)
@@ -247,18 +183,20 @@
             wait_ms = self._expected_wait_ms(request)
             allowed_ms = MAX_WAIT_PART * (request.deadline_ms - now_ms)
             if wait_ms > allowed_ms:
+                self._usage.refused(now_ms, request.kind)
                 return self._refuse_overloaded(
                     request.key, wait_ms - allowed_ms
                 )
         kind_queue = self._queue.kinds[request.kind]
         # A customer may fill half of the room that is left, so that a flood
         # of one customer leaves room for the others.
-        room = self._service_cfg.queue_limit - kind_queue.length
+        room = self._queue_limit - kind_queue.length
         if kind_queue.customer_length(request.customer) >= room:
+            self._usage.refused(now_ms, request.kind)
             return self._refuse_overloaded(
                 request.key, self._expected_wait_ms(request)
             )
-        self._budget_at(now_ms).submitted()
+        self._attempts.budget(now_ms).submitted()
         self._enqueue(request, frozenset(), front=False)
         return None
 
@@ -283,7 +221,7 @@
 
         None: it is queued again.
         """
-        running = self._finish(now_ms, key, server)
+        running = self._attempts.ended(now_ms, key, server)
         if running is None:
             return None
         state = running.server
@@ -294,14 +232,15 @@
             return self._refuse(key, Reason.CANCELLED, 0)
         excluded = running.excluded
         free = running.reserved_token
+        running.reserved_token = False
         if error is backend.RunError.BUSY:
-            state.busy(now_ms, hold_ms=self._busy_hold_ms(state))
+            self._attempts.busy(now_ms, state)
         else:
             excluded |= {server}
         if error is backend.RunError.DRAINING:
             # At most the requests in flight come back this way, since the
             # server gets no new ones; they do not count as retries.
-            self._mark(state, servers.DrainSource.TOLD, True)
+            self.server_draining(now_ms, server, True)
             free = True
         return self._retry(now_ms, running.request, excluded, free=free)
 
@@ -314,11 +253,10 @@
         latency_ms: int,
     ) -> None:
         """Take in that an assignment ended for good."""
-        running = self._finish(now_ms, key, server)
+        running = self._attempts.ended(now_ms, key, server)
         if running is None:
             return
-        if running.reserved_token:
-            self._budget_at(now_ms).give_back()
+        self._attempts.give_back(now_ms, running)
         self.counters[f"completed_{completion.value}"] += 1
         state = running.server
         if completion is types.Completion.ANSWERED:
@@ -340,13 +278,13 @@
             )
         ):
             self.counters["ejections"] += 1
-            self._shares_ms = None
+            self._division.outdate()
 
     def poll(self, now_ms: int) -> types.Poll:
         """Return the requests to send now and those that are refused."""
         self._refresh(now_ms)
-        refusals = self._pending
-        self._pending = []
+        self._attempts.give_back_accepted(now_ms)
+        refusals = []
         for entry in self._queue.expired(now_ms):
             self.counters["expired_in_queue"] += 1
             refusals.append(
@@ -365,7 +303,7 @@
                     )
                 )
         assignments = []
-        while len(self._queue):
+        while len(self._queue) and self._attempts.may_start():
             assignment = self._assign(now_ms)
             if assignment is None:
                 break
@@ -375,79 +313,36 @@
         return types.Poll(tuple(assignments), tuple(refusals))
 
     def _assign(self, now_ms: int) -> types.Assignment | None:
-        kind = self._next_kind(now_ms)
+        kind, by_floor = self._next_kind(now_ms)
         if kind is None:
             return None
         head = self._queue.kinds[kind].head()
-        work_ms = self._usage.work_ms(kind)
-        reserved_token = False
-        candidates = self._candidates(now_ms, head.excluded)
-        server = None
-        if not self._options.own_slots_only:
-            server = self._picker.foreign(now_ms, candidates, work_ms)
-        else:
-            if len(self._running) < max(1, sum(self._owned.values())):
-                server = self._picker.own(
-                    now_ms, candidates, self._owned, work_ms
-                )
-            if server is None and self._options.foreign_slots:
-                server = self._picker.foreign(now_ms, candidates, work_ms)
-                if server is not None:
-                    reserved_token = self._budget_at(now_ms).take()
-                    if not reserved_token:
-                        return None
-                    self.counters["foreign_tries"] += 1
+        server, reserved = self._attempts.choose(now_ms, head.excluded)
         if server is None:
             return None
         entry = self._queue.pop(kind)
-        request = entry.request
-        server.in_flight += 1
-        warmth = server.warmth(now_ms, self._service_cfg.slow_start_ms)
-        if warmth < 1:
-            server.next_start_ms = now_ms + round(work_ms * (1 / warmth - 1))
-        self._usage.started(now_ms, kind)
-        self._running[request.key] = _Running(
-            request, server, now_ms, entry.excluded, reserved_token
+        self._attempts.started(
+            attempts.Running(
+                entry.request,
+                server,
+                now_ms,
+                entry.excluded,
+                reserved,
+                by_floor,
+            )
         )
         self.counters["assigned"] += 1
-        return types.Assignment(request, server.name)
-
-    def _candidates(
-        self, now_ms: int, excluded: frozenset[str]
-    ) -> list[servers.Server]:
-        usable = self._servers.available(now_ms)
-        # A request that every server turned down may go to any of them.
-        if excluded and any(s.name not in excluded for s in usable):
-            usable = [s for s in usable if s.name not in excluded]
-        return [
-            server
-            for server in usable
-            if now_ms >= server.busy_until_ms
-            and now_ms >= server.next_start_ms
-            and server.in_flight < server.slots
-        ]
-
-    def _next_kind(self, now_ms: int) -> str | None:
+        return types.Assignment(entry.request, server.name)
+
+    def _next_kind(self, now_ms: int) -> tuple[str | None, bool]:
+        """Return the kind to serve, and whether its floor decided that."""
         first = None
         for kind in self._kinds:
             if self._queue.kinds[kind].length:
-                if self._usage.floor_due(now_ms, kind):
-                    return kind
+                if first is not None and self._usage.floor_due(now_ms, kind):
+                    return kind, True
                 first = first or kind
-        return first
-
-    def _finish(
-        self, now_ms: int, key: types.RequestKey, server: str
-    ) -> _Running | None:
-        running = self._running.get(key)
-        if running is None or running.server.name != server:
-            return None
-        del self._running[key]
-        running.server.in_flight -= 1
-        self._usage.ended(
-            now_ms, running.request.kind, now_ms - running.started_ms
-        )
-        return running
+        return first, False
 
     def _retry(
         self,
@@ -457,11 +352,11 @@
         *,
         free: bool = False,
     ) -> types.Refusal | None:
-        if request.kind not in self._kind_cfg:
+        if request.kind not in self._kinds:
             return self._refuse(request.key, Reason.BAD_REQUEST, 0)
         if now_ms >= request.deadline_ms:
             return self._refuse(request.key, Reason.EXPIRED, 0)
-        if not free and not self._budget_at(now_ms).take():
+        if not free and not self._attempts.budget(now_ms).take():
             self.counters["retry_budget_empty"] += 1
             return self._refuse_overloaded(
                 request.key, self._expected_wait_ms(request)
@@ -491,6 +386,7 @@
         self, now_ms: int, exclude: frozenset[str] = frozenset()
     ) -> str | None:
         """Return the server for a new feed, or None."""
+        self._refresh(now_ms)
         server = picker.pick_for_feed(
             now_ms,
             [
@@ -498,7 +394,7 @@
                 for server in self._servers.available(now_ms)
                 if server.name not in exclude
             ],
-            slow_start_ms=self._slow_start_ms(),
+            slow_start_ms=self._attempts.slow_start_ms,
             rng=self._rng,
         )
         return server.name if server else None
@@ -515,108 +411,19 @@
     # Shares and expected waits
 
     def _refresh(self, now_ms: int) -> None:
-        if (
-            self._shares_ms is not None
-            and now_ms - self._shares_ms < SHARES_INTERVAL_MS
-        ):
+        if not self._division.due(now_ms):
             return
-        if (
-            self._demand_ms is None
-            or now_ms - self._demand_ms >= DEMAND_INTERVAL_MS
-        ):
-            self._update_demand(now_ms)
-        self._shares_ms = now_ms
-        leaving = self._peers.draining(now_ms)
-        slots = {}
-        for server in self._servers.by_name.values():
-            if server.name in leaving:
-                server.draining.add(servers.DrainSource.PEER)
-            else:
-                server.draining.discard(servers.DrainSource.PEER)
-            if server.up and not server.draining:
-                slots[server.name] = server.slots
-        self._divide(now_ms, slots)
-        self._usage.set_floors(now_ms, self._allocation.floors)
-
-    def _divide(self, now_ms: int, slots: dict[str, int]) -> None:
-        capacity = sum(slots.values())
-        order = shares.member_order(self.service, self._members)
-        if self._options.exchange:
-            claims = {
-                peer: self._peers.claim(now_ms, peer)
-                for peer in order
-                if peer != self._me
-            }
-        else:
-            claims = {
-                peer: shares.Claim({}, reserved=1.0)
-                for peer in order
-                if peer != self._me
-            }
-        claims[self._me] = shares.Claim(self._own_demand)
-        allocations = shares.allocate(
-            capacity,
-            order=order,
-            claims=claims,
-            precedence=self._kinds,
-            floors={
-                kind: cfg.floor_percent / 100
-                for kind, cfg in self._kind_cfg.items()
-            },
-        )
-        counts = shares.whole_slots(
-            order,
-            {name: part.total for name, part in allocations.items()},
-            capacity,
-        )
-        self._allocation = allocations[self._me]
-        self._owned = shares.owned_slots(order, counts, slots)[self._me]
-
-    def _update_demand(self, now_ms: int) -> None:
-        self._demand_ms = now_ms
-        self._shares_ms = None
-        self._own_demand = {
-            kind: self._usage.demand(
-                now_ms, kind, self._queue.kinds[kind].length
-            )
-            for kind in self._kinds
-        }
-
-    def _expected_wait_ms(self, request: types.QueuedRequest) -> float:
-        allocation = self._allocation
-        own = self._queue.kinds[request.kind]
-        if not own.length and len(self._running) < sum(self._owned.values()):
-            return 0.0
-        total = max(0.5, allocation.total)
-        wait_ms = 0.0
-        for kind in self._kinds:
-            if kind == request.kind:
-                break
-            wait_ms += (
-                self._queue.kinds[kind].length
-                * self._usage.work_ms(kind)
-                / total
-            )
-        rate = max(
-            0.25,
-            allocation.kinds.get(request.kind, 0.0)
-            + allocation.spare
-            + allocation.reserved,
-        )
-        return (
-            wait_ms
-            + own.ahead(request.customer)
-            * self._usage.work_ms(request.kind)
-            / rate
+        if self._division.demand_due(now_ms):
+            self._division.measure_demand(now_ms, self._usage, self._queue)
+        self._division.update(now_ms, self._servers)
+        self._usage.set_floors(now_ms, self._division.allocation.floors)
+        self._has_slots = any(
+            server.up and not server.draining
+            for server in self._servers.by_name.values()
         )
 
-    # Details
-
     def _has_server(self, now_ms: int) -> bool:
-        if any(
-            server.up and not server.draining
-            for server in self._servers.by_name.values()
-        ):
+        if self._has_slots:
             self._served_ms = now_ms
             return True
         return (
@@ -624,24 +431,21 @@
             and now_ms - self._served_ms < NO_SERVER_GRACE_MS
         )
 
-    def _budget_at(self, now_ms: int) -> retry.RetryBudget:
-        if self._budget is None:
-            percent = (
-                self._service_cfg.retry_percent if self._service_cfg else 0.0
-            )
-            self._budget = retry.RetryBudget(now_ms, percent=percent)
-        self._budget.refill(now_ms)
-        return self._budget
-
-    def _slow_start_ms(self) -> int:
-        return self._service_cfg.slow_start_ms if self._service_cfg else 0
-
-    def _busy_hold_ms(self, server: servers.Server) -> int:
-        mean_ms = self._usage.mean_work_ms() / (2 * server.slots)
-        return round(
-            min(MAX_BUSY_HOLD_MS, max(MIN_BUSY_HOLD_MS, mean_ms))
-            * self._rng.uniform(0.5, 1.5)
-        )
+    def _expected_wait_ms(self, request: types.QueuedRequest) -> float:
+        own = self._queue.kinds[request.kind]
+        if not own.length and self._attempts.own_slot_free():
+            return 0.0
+        wait_ms = 0.0
+        for kind in self._kinds:
+            if kind == request.kind:
+                break
+            length = self._queue.kinds[kind].length
+            if length:
+                wait_ms += length * self._usage.work_ms(kind)
+        wait_ms /= max(2 * MIN_RATE_SLOTS, self._division.total)
+        rate = max(MIN_RATE_SLOTS, self._division.rate(request.kind))
+        work_ms = self._usage.work_ms(request.kind)
+        return wait_ms + own.ahead(request.customer) * work_ms / rate
 
     def _refuse_overloaded(
         self, key: types.RequestKey, wait_ms: float
--- a/src/cyclamenridge/scheduling/servers.py
+++ b/src/cyclamenridge/scheduling/servers.py
@@ -1,8 +1,10 @@
 """What a balancer knows about the backend servers of a service."""
 
+from collections.abc import Mapping
 import enum
 import math
 
+from cyclamenridge.config import model
 from cyclamenridge.wire import backend
 
 # Ejection: failures among the last requests, and how long it lasts.
@@ -11,6 +13,10 @@
 EJECT_MIN_RESULTS = 4
 EJECT_MS = 5_000
 EJECT_MAX_MS = 60_000
+# What was heard of a free slot this long ago or less is believed. In the
+# balance experiment, such tries succeeded in 94 of 100 cases, and those on
+# older evidence in 30 to 60.
+FRESH_MS = 10
 # Part of a slot's time that a cold server gets first.
 COLD_PART = 0.1
 # Links of a fresh balancer come up within this time; servers that come up
@@ -44,12 +50,20 @@
         self.ejected_until_ms = 0
         self.warm_from_ms: int | None = None
         self.next_start_ms = 0
+        self.tried_ms = 0
         self.failure_ratio = 0.0
         self.results = 0
         self._ejections = 0
         self._others = 0.0
         self._others_mean = 0.0
-        self._others_ms = 0
+        self.seen_ms = 0
+
+    def mark(self, source: DrainSource, draining: bool) -> None:
+        """Take in what a source says about the server's leaving."""
+        if draining:
+            self.draining.add(source)
+        else:
+            self.draining.discard(source)
 
     def available(self, now_ms: int) -> bool:
         """Whether new work may be sent to the server."""
@@ -81,35 +95,40 @@
 
     def report(self, now_ms: int, load: backend.Load) -> None:
         """Take in a load report."""
-        if load.draining:
-            self.draining.add(DrainSource.REPORT)
-        else:
-            self.draining.discard(DrainSource.REPORT)
+        self.mark(DrainSource.REPORT, load.draining)
         self.reported_connections = max(0, load.connections)
         used = max(0, load.slots_used + load.queued)
         self._saw_others(now_ms, min(self.slots, used) - self.in_flight)
 
     def busy(self, now_ms: int, *, hold_ms: int) -> None:
         """Take in that the server had no free slot."""
+        self.tried_ms = now_ms
         self._saw_others(now_ms, self.slots - self.in_flight)
         self.busy_until_ms = max(self.busy_until_ms, now_ms + hold_ms)
 
     def _saw_others(self, now_ms: int, others: int) -> None:
         self._others = float(max(0, others))
         self._others_mean += 0.1 * (self._others - self._others_mean)
-        self._others_ms = now_ms
+        self.seen_ms = now_ms
 
-    def free_slots(self, now_ms: int, work_ms: float) -> float:
+    def free_slots(self, now_ms: int, residual_ms: float) -> float:
         """Estimate the free slots.
 
         What was last seen of the other balancers fades to its mean as the
         work that was seen ends.
         """
-        age_ms = max(0, now_ms - self._others_ms)
-        weight = math.exp(-age_ms / max(1.0, work_ms))
+        age_ms = max(0, now_ms - self.seen_ms)
+        weight = math.exp(-age_ms / max(1.0, residual_ms))
         others = weight * self._others + (1 - weight) * self._others_mean
         return self.slots - self.in_flight - others
 
+    def surely_free(self, now_ms: int) -> bool:
+        """Whether a slot was free a moment ago."""
+        return (
+            now_ms - self.seen_ms <= FRESH_MS
+            and self.in_flight + self._others < self.slots
+        )
+
     def warmth(self, now_ms: int, slow_start_ms: int) -> float:
         """Return the part of a slot's time that may be used now."""
         if self.warm_from_ms is None:
@@ -146,6 +165,33 @@
         self.by_name: dict[str, Server] = {}
         self._first_up_ms: int | None = None
 
+    def configure(self, configured: Mapping[str, model.Server]) -> None:
+        """Apply the configured servers; others get nothing new."""
+        for name, server in list(self.by_name.items()):
+            if name not in configured:
+                server.mark(DrainSource.CONFIG, True)
+                if not server.up:
+                    del self.by_name[name]
+        for name, cfg in configured.items():
+            if name not in self.by_name:
+                self.by_name[name] = Server(
+                    name, slots=cfg.slots, connections=cfg.connections
+                )
+            self.by_name[name].mark(
+                DrainSource.CONFIG, cfg.state is model.ServerState.DRAINING
+            )
+
+    def known_leaving(self) -> tuple[str, ...]:
+        """Return the servers that this balancer itself saw leaving."""
+        own = {DrainSource.TOLD, DrainSource.REPORT}
+        return tuple(
+            sorted(
+                server.name
+                for server in self.by_name.values()
+                if server.draining & own
+            )
+        )
+
     def get(self, name: str) -> Server:
         """Return a server, which may not be configured yet."""
         if name not in self.by_name:
--- a/src/cyclamenridge/scheduling/shares.py
+++ b/src/cyclamenridge/scheduling/shares.py
@@ -180,15 +180,32 @@
 
 
 def whole_slots(
-    order: Sequence[str], totals: Mapping[str, float], capacity: int
+    order: Sequence[str],
+    allocations: Mapping[str, Allocation],
+    capacity: int,
+    *,
+    precedence: Sequence[str],
 ) -> dict[str, int]:
-    """Round totals to whole slots that add up to at most the capacity."""
+    """Round allocations to whole slots, at most the capacity in all.
+
+    The largest remainders are rounded up. In a flood they are equal, and
+    the members with more work of high kinds come first.
+    """
+    totals = {name: allocations[name].total for name in order}
     counts = {name: math.floor(totals[name] + 1e-6) for name in order}
     left = min(capacity, round(sum(totals.values()))) - sum(counts.values())
+    weights = {kind: -index for index, kind in enumerate(precedence)}
     by_remainder = sorted(
         order,
         key=lambda name: (
             -round(totals[name] - counts[name], 3),
+            -round(
+                sum(
+                    slots * weights[kind]
+                    for kind, slots in allocations[name].kinds.items()
+                ),
+                3,
+            ),
             order.index(name),
         ),
     )
