--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from cyclamenridge.config import model
+from cyclamenridge.scheduling import options as options_lib
 from cyclamenridge.scheduling import scheduler as scheduler_lib
 from cyclamenridge.scheduling import types
 from cyclamenridge.wire import backend
@@ -18,6 +19,9 @@
 SERVICE = "service"
 ONE_WAY_MS = 0.5
 TICK_MS = 50
+# A refusal while this part of the slots is free is counted as false. A few
+# slots are always free for the round trip between two requests.
+ROOM_PART = 0.2
 LOAD_INTERVAL_MS = 500
 DEMAND_INTERVAL_MS = 1000
 # Schedulers see a clock that does not start at zero, like a real one.
@@ -64,6 +68,9 @@
     """A request and what became of it.
 
     :param work_ms: slot time on a server at full speed
+    :param normal: not part of a flood
+    :param finished: when the server was done; ``ended`` is when the
+        balancer knew
     """
 
     seq: int
@@ -74,8 +81,10 @@
     work_ms: float
     normal: bool = True
     started: float | None = None
+    finished: float | None = None
     ended: float | None = None
     refused: float | None = None
+    refused_with_room: bool = False
     failed: bool = False
 
     @property
@@ -172,6 +181,7 @@
                 started, second * 1000
             )
         job.failed = failing
+        job.finished = now
         if now > job.deadline:
             self.late_work_ms += now - started
         if self._queue:
@@ -281,6 +291,11 @@
             if not server.draining
         )
 
+    def refuse(self, job: Job) -> None:
+        """Note that a request was refused, and whether there was room."""
+        job.refused = self.events.now
+        job.refused_with_room = self.free_slots() >= ROOM_PART * self.capacity
+
     def arrive(
         self, arrivals: Iterator[Job], pick: Callable[[Job], SimBalancer]
     ) -> None:
@@ -320,7 +335,7 @@
         name: str,
         cfg: model.Config,
         *,
-        options: scheduler_lib.Options | None = None,
+        options: options_lib.Options | None = None,
         one_kind: str | None = None,
     ) -> None:
         super().__init__(sim, name)
@@ -329,7 +344,7 @@
             cfg,
             me=name,
             rng=random.Random(f"{name}/{sim.rng.random()}"),
-            options=options or scheduler_lib.Options(),
+            options=options,
         )
         self._one_kind = one_kind
         self._jobs: dict[types.RequestKey, Job] = {}
@@ -435,8 +450,7 @@
         self.poll()
 
     def _refused(self, refusal: types.Refusal) -> None:
-        job = self._jobs.pop(refusal.key)
-        job.refused = self.sim.events.now
+        self.sim.refuse(self._jobs.pop(refusal.key))
 
     def _ask_load(self) -> None:
         if not self.alive:
@@ -444,12 +458,15 @@
         for server in self.sim.servers.values():
             self.sim.events.after(
                 2 * self.sim.delay(),
-                self.core.server_load,
-                self.now,
+                self._hear_load,
                 server.name,
                 server.load(),
             )
 
+    def _hear_load(self, server: str, load: backend.Load) -> None:
+        self.core.server_load(self.now, server, load)
+        self.poll()
+
     def _tell_demand(self) -> None:
         if not self.alive:
             return
@@ -529,7 +546,7 @@
         def reply(error: backend.RunError | None) -> None:
             self.in_flight[server] -= 1
             if error is backend.RunError.BUSY:
-                job.refused = self.sim.events.now
+                self.sim.refuse(job)
             else:
                 job.ended = self.sim.events.now
 
