--- a/src/cyclamenridge/control/plane.py
+++ b/src/cyclamenridge/control/plane.py
@@ -18,6 +18,7 @@
 import cyclamenridge.errors as errors
 from cyclamenridge.node import events
 from cyclamenridge.routing import homes
+from cyclamenridge.routing import pinned
 from cyclamenridge.scheduling import types as scheduling
 
 Address = address_lib.Address
@@ -55,6 +56,7 @@
         self._store = storewatch.StoreWatcher(me.name, rng, self.counters)
         self._demand = demand.DemandExchange(rng)
         self._demands: list[types.DemandReceived] = []
+        self._filters: list[types.FilterReceived] = []
         self._adopted: document_lib.Document | None = None
 
     @property
@@ -136,6 +138,23 @@
         """Replace the demands that are told once a second."""
         self._demand.set(now_ms, demands)
 
+    def send_filter(
+        self, now_ms: int, member: str, service: str, item: pinned.PinnedFilter
+    ) -> bool:
+        """Tell a member about flows without a token.
+
+        :returns: False when the budget is used up and it has to wait
+        """
+        entry = self._peering.table.entries.get(member)
+        if entry is None:
+            return True
+        return self._out.send(
+            now_ms,
+            entry.address,
+            messages.Pinned(service, item),
+            Priority.FILTER,
+        )
+
     def leave(self, now_ms: int) -> types.Output:
         """Tell the members that this balancer takes no new sessions."""
         self._peering.leave(now_ms)
@@ -146,9 +165,11 @@
             effects=self._out.take(),
             adopted=self._adopted,
             demands=tuple(self._demands),
+            filters=tuple(self._filters),
             members_changed=self._peering.take_changed(),
         )
         self._demands.clear()
+        self._filters.clear()
         self._adopted = None
         return out
 
@@ -173,6 +194,12 @@
                 self._serve(now_ms, source, fetch)
             case messages.Chunk() as chunk:
                 self._take_chunk(now_ms, chunk)
+            case messages.Pinned() as told:
+                self._filters.append(
+                    types.FilterReceived(
+                        message.sender, told.service, told.filter
+                    )
+                )
             case messages.Demands() as told:
                 self._demands.extend(
                     types.DemandReceived(message.sender, demand)
