--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -7,9 +7,11 @@
 import heapq
 import itertools
 import random
+import time
 
 from cyclamenridge import address as address_lib
 from cyclamenridge.config import document as document_lib
+from cyclamenridge.control import messages
 from cyclamenridge.control import plane as plane_lib
 from cyclamenridge.control import transfer
 from cyclamenridge.control import types
@@ -43,6 +45,7 @@
     """A process of the fleet.
 
     :param adopted: (time, revision) of each document put in force
+    :param demands: (time, demand) of each demand that was received
     :param bytes_sent: control bytes with IP and UDP headers, per 100 ms
     """
 
@@ -52,7 +55,7 @@
     paused: bool = False
     backlog: list[Callable[[], None]] = dataclasses.field(default_factory=list)
     adopted: list[tuple[int, int]] = dataclasses.field(default_factory=list)
-    demands: list[types.DemandReceived] = dataclasses.field(
+    demands: list[tuple[int, types.DemandReceived]] = dataclasses.field(
         default_factory=list
     )
     bytes_sent: collections.Counter[int] = dataclasses.field(
@@ -101,6 +104,8 @@
         self.cut: Callable[[Node, Node], bool] = lambda src, dst: False
         self.store_cut: Callable[[Node], bool] = lambda node: False
         self.sent: list[tuple[int, Node, Address, bytes]] | None = None
+        # Processor time that all planes have used.
+        self.cpu_ns = 0
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
         self._order = itertools.count()
 
@@ -176,6 +181,28 @@
             self.add(f"bal-{index:03}", index) for index in range(1, count + 1)
         ]
 
+    def acquaint(self) -> None:
+        """Make all nodes known to each other, as a running fleet is.
+
+        Large fleets need many seconds of gossip for this, which is not
+        what most experiments measure.
+        """
+        updates = [
+            messages.Update(node.balancer, 0, types.MemberState.ALIVE)
+            for node in self.nodes.values()
+        ]
+        for node in self.nodes.values():
+            for update in updates:
+                if update.balancer.name != node.name:
+                    node.plane._peering.table.add(self.now_ms, update)
+
+    def preload(self, doc: Document) -> None:
+        """Put a document in force on every node without a transfer."""
+        self.apply(doc)
+        read = events.StoreRead(doc, self.store.mod_revision)
+        for node in self.nodes.values():
+            node.plane.store_read(self.now_ms, read)
+
     def kill(self, node: Node) -> None:
         """End a process without notice."""
         node.running = False
@@ -252,7 +279,7 @@
         if not node.running:
             return
         if not node.paused:
-            self._carry_out(node, node.plane.tick(self.now_ms))
+            self._step(node, lambda: node.plane.tick(self.now_ms))
         self.at(self.now_ms + TICK_MS, lambda: self._tick(node))
 
     def _wake(self, node: Node) -> None:
@@ -269,12 +296,18 @@
             if len(node.backlog) < 500:
                 node.backlog.append(lambda: self._deliver(node, call))
             return
-        self._carry_out(node, call())
+        self._step(node, call)
+
+    def _step(self, node: Node, call: Callable[[], types.Output]) -> None:
+        begun_ns = time.process_time_ns()
+        out = call()
+        self.cpu_ns += time.process_time_ns() - begun_ns
+        self._carry_out(node, out)
 
     def _carry_out(self, node: Node, out: types.Output) -> None:
         if out.adopted is not None:
             node.adopted.append((self.now_ms, out.adopted.revision))
-        node.demands.extend(out.demands)
+        node.demands.extend((self.now_ms, told) for told in out.demands)
         for effect in out.effects:
             match effect:
                 case effects.SendPeer():
--- a/src/cyclamenridge/control/budget.py
+++ b/src/cyclamenridge/control/budget.py
@@ -27,15 +27,15 @@
 
 
 # A class may send while the bytes of all classes in the window stay under
-# its ceiling. The node's own probes have the last 2 KB, so that a node which
+# its ceiling. The node's own probes have the last 1.5 KB, so that a node which
 # is asked by many others is still heard and not taken for dead.
 CEILING_BYTES = {
-    Priority.FILTER: 28_000,
-    Priority.DEMAND: 30_000,
-    Priority.MEMBERS: 33_000,
-    Priority.CHUNK: 36_000,
-    Priority.CONFIG: 37_000,
-    Priority.ACK: 38_000,
+    Priority.FILTER: 30_000,
+    Priority.DEMAND: 34_000,
+    Priority.MEMBERS: 35_000,
+    Priority.CHUNK: 36_500,
+    Priority.CONFIG: 37_500,
+    Priority.ACK: 38_500,
     Priority.PROBE: WINDOW_BYTES,
 }
 
@@ -67,7 +67,7 @@
 # the seeds for the member list all at once when a fleet starts.
 _CLASS_RATES = {
     Priority.FILTER: (2_000, 2_000),
-    Priority.DEMAND: (2_400, 2_400),
+    Priority.DEMAND: (2_600, 2_600),
     Priority.MEMBERS: (1_500, 12_000),
 }
 
--- a/src/cyclamenridge/control/codec.py
+++ b/src/cyclamenridge/control/codec.py
@@ -157,6 +157,10 @@
             chunk.data = body.data
         case messages.Demands():
             _put_demands(out, body)
+        case messages.Shares():
+            _put_shares(out, body)
+        case messages.NamesWanted():
+            out.namesWanted = None
         case messages.Pinned():
             group = out.init("pinned")
             group.service = body.service
@@ -182,6 +186,18 @@
                 draining[place] = server
 
 
+def _put_shares(out: Any, body: messages.Shares) -> None:
+    items = out.init("shares", len(body.shares))
+    for index, share in enumerate(body.shares):
+        item = items[index]
+        item.service = share.service
+        if share.kinds:
+            item.kinds = [kind for kind, _ in share.kinds]
+            item.slots = [slots for _, slots in share.kinds]
+        if share.draining:
+            item.draining = list(share.draining)
+
+
 def _name(text: str) -> str:
     if not text or len(text) > _MAX_NAME_BYTES:
         raise ValueError("name is empty or too long")
@@ -255,6 +271,10 @@
             return messages.Demands(
                 tuple(_demand(item) for item in body.demands)
             )
+        case "shares":
+            return messages.Shares(tuple(_share(item) for item in body.shares))
+        case "namesWanted":
+            return messages.NamesWanted()
         case "pinned":
             return _pinned(body.pinned)
         case other:
@@ -300,13 +320,29 @@
     return messages.Pinned(_name(group.service), item)
 
 
+def _slots(slots: float) -> float:
+    if not (math.isfinite(slots) and slots >= 0):
+        raise ValueError("demand is not a number of slots")
+    return slots
+
+
+def _share(item: Any) -> messages.Share:
+    return messages.Share(
+        service=item.service,
+        kinds=tuple(
+            (kind, _slots(slots))
+            for kind, slots in zip(item.kinds, item.slots, strict=True)
+        ),
+        draining=tuple(_name(server) for server in item.draining),
+    )
+
+
 def _demand(item: Any) -> scheduling.ServiceDemand:
     kinds = []
     for kind in item.kinds:
-        slots = kind.slots
-        if not (math.isfinite(slots) and slots >= 0):
-            raise ValueError("demand is not a number of slots")
-        kinds.append(scheduling.KindDemand(_name(kind.name), slots))
+        kinds.append(
+            scheduling.KindDemand(_name(kind.name), _slots(kind.slots))
+        )
     return scheduling.ServiceDemand(
         service=_name(item.service),
         kinds=tuple(kinds),
--- a/src/cyclamenridge/control/control.capnp
+++ b/src/cyclamenridge/control/control.capnp
@@ -23,6 +23,14 @@
   draining @2 :List(Text);
 }
 
+# The short form of Demand: names are replaced by their xxh32.
+struct Share {
+  service @0 :UInt32;
+  kinds @1 :List(UInt32);
+  slots @2 :List(Float32);
+  draining @3 :List(Text);
+}
+
 struct Message {
   sender @0 :Text;
   incarnation @1 :UInt64;
@@ -87,5 +95,8 @@
       parts @34 :UInt16;
       data @35 :Data;
     }
+    shares @36 :List(Share);
+    # The sender cannot resolve a hash of a Share.
+    namesWanted @37 :Void;
   }
 }
--- a/src/cyclamenridge/control/messages.py
+++ b/src/cyclamenridge/control/messages.py
@@ -116,6 +116,30 @@
     demands: tuple[scheduling.ServiceDemand, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Share:
+    """A demand whose names are replaced by their hashes.
+
+    :param kinds: hash of each kind and the slots it could use
+    """
+
+    service: int
+    kinds: tuple[tuple[int, float], ...]
+    draining: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shares:
+    """The short form of Demands, once the receiver knows the names."""
+
+    shares: tuple[Share, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamesWanted:
+    """Asks for Demands instead of Shares."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pinned:
     """Tells the next owner of flows without a token where they are."""
@@ -134,6 +158,8 @@
     | Fetch
     | Chunk
     | Demands
+    | Shares
+    | NamesWanted
     | Pinned
 )
 
--- a/src/cyclamenridge/control/plane.py
+++ b/src/cyclamenridge/control/plane.py
@@ -7,8 +7,7 @@
 from cyclamenridge.config import document as document_lib
 from cyclamenridge.control import budget
 from cyclamenridge.control import codec as codec_lib
-from cyclamenridge.control import demand
-from cyclamenridge.control import membership
+from cyclamenridge.control import demand as demand_lib
 from cyclamenridge.control import messages
 from cyclamenridge.control import outbox
 from cyclamenridge.control import peering
@@ -19,7 +18,6 @@
 from cyclamenridge.node import events
 from cyclamenridge.routing import homes
 from cyclamenridge.routing import pinned
-from cyclamenridge.scheduling import types as scheduling
 
 Address = address_lib.Address
 Priority = budget.Priority
@@ -54,7 +52,8 @@
         )
         self._replicator = replication.Replicator(rng, self.counters)
         self._store = storewatch.StoreWatcher(me.name, rng, self.counters)
-        self._demand = demand.DemandExchange(rng)
+        self._demand = demand_lib.DemandExchange(rng)
+        self._names = demand_lib.NameTable()
         self._demands: list[types.DemandReceived] = []
         self._filters: list[types.FilterReceived] = []
         self._adopted: document_lib.Document | None = None
@@ -201,10 +200,15 @@
                     )
                 )
             case messages.Demands() as told:
-                self._demands.extend(
-                    types.DemandReceived(message.sender, demand)
-                    for demand in told.demands
-                )
+                for demand in told.demands:
+                    self._names.learn(demand)
+                    self._demands.append(
+                        types.DemandReceived(message.sender, demand)
+                    )
+            case messages.Shares() as told:
+                self._take_shares(now_ms, source, message.sender, told)
+            case messages.NamesWanted():
+                self._demand.names_wanted(message.sender)
             case body:
                 self._peering.answer(now_ms, source, message.sender, body)
         return self._output()
@@ -248,27 +252,26 @@
     def _send_demands(self, now_ms: int) -> None:
         for name in self._demand.due(now_ms):
             entry = self._peering.table.entries.get(name)
-            if (
-                entry is not None
-                and entry.state is not types.MemberState.DEAD
-                and not self._send_demand(
-                    now_ms, entry, self._demand.demands(name)
-                )
-            ):
-                break
+            if entry is not None and entry.state is not types.MemberState.DEAD:
+                bodies = self._demand.bodies(name)
+                while bodies and self._out.send(
+                    now_ms, entry.address, bodies[0], Priority.DEMAND
+                ):
+                    del bodies[0]
+                if bodies:
+                    return
             self._demand.sent(now_ms, name)
 
-    def _send_demand(
-        self,
-        now_ms: int,
-        entry: membership.Entry,
-        demands: tuple[scheduling.ServiceDemand, ...],
-    ) -> bool:
-        data = self._out.encode(messages.Demands(demands))
-        if len(data) > messages.MAX_DATAGRAM_BYTES and len(demands) > 1:
-            half = len(demands) // 2
-            first = self._send_demand(now_ms, entry, demands[:half])
-            return first and self._send_demand(now_ms, entry, demands[half:])
-        return self._out.send_data(
-            now_ms, entry.address, data, Priority.DEMAND
-        )
+    def _take_shares(
+        self, now_ms: int, source: Address, sender: str, told: messages.Shares
+    ) -> None:
+        for share in told.shares:
+            demand = self._names.resolve(share)
+            if demand is not None:
+                self._demands.append(types.DemandReceived(sender, demand))
+                continue
+            self.counters["demand_names_unknown"] += 1
+            self._out.send(
+                now_ms, source, messages.NamesWanted(), Priority.DEMAND
+            )
+            return
--- a/tests/control/test_codec.py
+++ b/tests/control/test_codec.py
@@ -39,6 +39,8 @@
             scheduling.ServiceDemand("intake", ()),
         )
     ),
+    messages.Shares((messages.Share(2**32 - 1, ((7, 1.5),), ("srv-1",)),)),
+    messages.NamesWanted(),
     messages.Pinned("album", pinned.build("srv-1", [b"flow-1"])[0]),
     messages.Pinned("album", pinned.completion(("srv-1",))),
 ]
