Read long transfers from the store first

A file that is replaced as a whole is 49 KB after compression at 2,700 servers, more than a node may send in 10 s. Nodes now read it from the store within a second, which stays below its 2,000 reads a second with 540 nodes, and fetch it from peers when that does not help.

--- a/src/cyclamenridge/control/plane.py
+++ b/src/cyclamenridge/control/plane.py
@@ -238,6 +238,8 @@
         if document is not None:
             self._announce(now_ms)
         self._fetch(now_ms, req)
+        if self._replicator.take_store_wanted():
+            self._store.read_soon(now_ms)
 
     def _announce(self, now_ms: int) -> None:
         """Put the new revision into headers and tell a few members."""
--- a/src/cyclamenridge/control/replication.py
+++ b/src/cyclamenridge/control/replication.py
@@ -23,6 +23,11 @@
 # A peer whose budget is exhausted does not answer; the waits grow to this.
 MAX_FETCH_WAIT_MS = 2000
 MAX_SOURCES = 8
+# A transfer that is longer than this would take the budgets of the peers
+# for many seconds. The store is asked first, which answers 2,000 reads a
+# second, and the peers go on when it did not help within the time.
+LONG_TRANSFER_CHUNKS = 8
+STORE_FIRST_MS = 1500
 MAX_CHUNKS = transfer.MAX_DOCUMENT_BYTES // messages.MAX_CHUNK_BYTES + 1
 
 
@@ -44,6 +49,7 @@
     deadline_ms: int
     attempts: int = 0
     earliest_ms: int = 0
+    held: bool = False
     identity: int = 0
     total: int = 0
     chunks: dict[int, bytes] = dataclasses.field(default_factory=dict)
@@ -65,6 +71,8 @@
         self._blobs: dict[int, bytes] = {}
         self._fetching: _Fetching | None = None
         self._conflict = 0
+        self._store_asked = 0
+        self._store_wanted = False
         # Set after a transfer relative to a base failed, because the peers
         # may hold another document under the base's revision.
         self._whole = False
@@ -149,6 +157,9 @@
         fetching = self._fetching
         if fetching is None or now_ms < fetching.deadline_ms:
             return None
+        if fetching.held:
+            fetching.held = False
+            return self._ask(now_ms)
         self._counters["config_fetch_timeouts"] += 1
         fetching.attempts += 1
         # After several failures the next header of a peer starts anew, with
@@ -215,6 +226,11 @@
             for index in range(fetch.first, last)
         ]
 
+    def take_store_wanted(self) -> bool:
+        """Return whether a read of the store would save a long transfer."""
+        wanted, self._store_wanted = self._store_wanted, False
+        return wanted
+
     def chunk(
         self, now_ms: int, chunk: messages.Chunk
     ) -> tuple[Document | None, Request | None]:
@@ -240,6 +256,17 @@
         fetching.attempts = 0
         if len(fetching.chunks) == fetching.total:
             return self._complete(fetching), None
+        if (
+            fetching.total > LONG_TRANSFER_CHUNKS
+            and self._store_asked < fetching.revision
+        ):
+            self._store_asked = fetching.revision
+            self._store_wanted = True
+            fetching.deadline_ms = now_ms + STORE_FIRST_MS
+            fetching.held = True
+            return None, None
+        if fetching.held:
+            return None, None
         if all(
             index in fetching.chunks
             for index in fetching.asked
--- a/src/cyclamenridge/control/storewatch.py
+++ b/src/cyclamenridge/control/storewatch.py
@@ -27,6 +27,11 @@
 # The few watchers try again sooner, so that a change which is applied after
 # an outage is in force within 3 s.
 WATCHER_BACKOFF_MAX_MS = 1500
+# Spreads the reads of a fleet that all want a large document, and bounds
+# them for each node.
+SOON_JITTER_MS = 1000
+SOON_INTERVAL_MS = 2000
+WATCH_JITTER_MS = 500
 # An older document is read again before it is overwritten, since it may come
 # from a lagging watch.
 CONFIRM_MS = 300
@@ -51,6 +56,9 @@
         self._read_ms = 0
         self._read_sent_ms: int | None = None
         self._watch_ms: int | None = None
+        self._watch_lost = False
+        self._soon = False
+        self._soon_ms = -SOON_INTERVAL_MS
         self._failures = 0
         self._behind: tuple[int, int] | None = None
 
@@ -84,12 +92,14 @@
         out: list[effects.Effect] = []
         if self._elected != self.watching:
             self.watching = self._elected
-            self._watch_ms = now_ms if self.watching else None
             if self.watching:
+                self._watch_ms = now_ms + self._rng.randrange(WATCH_JITTER_MS)
                 self._read_ms = min(
                     self._read_ms, now_ms + self._interval_ms()
                 )
             else:
+                self._watch_ms = None
+                self._watch_lost = False
                 out.append(effects.WatchStore(active=False))
         if self._watch_ms is not None and now_ms >= self._watch_ms:
             self._watch_ms = None
@@ -102,9 +112,10 @@
             self._counters["store_timeouts"] += 1
             self._read_sent_ms = None
             self._back_off(now_ms)
-        wanted = self.watching or document is None
+        wanted = self.watching or self._soon or document is None
         if wanted and now_ms >= self._read_ms and self._read_sent_ms is None:
             self._read_sent_ms = now_ms
+            self._soon = False
             self._read_ms = now_ms + self._interval_ms()
             self._counters["store_reads"] += 1
             out.append(effects.ReadStore())
@@ -118,6 +129,10 @@
     ) -> list[effects.Effect]:
         """Take an answer; ``document`` is in force after it was applied."""
         self._read_sent_ms = None
+        if self._watch_lost:
+            # The store answers again.
+            self._watch_lost = False
+            self._watch_ms = now_ms
         stored = 0 if read.document is None else read.document.revision
         if document is None and not self.watching:
             # The store has no document yet; the watchers wait for it.
@@ -140,14 +155,21 @@
         self._counters["store_writes"] += 1
         return [effects.WriteStore(document, read.mod_revision)]
 
+    def read_soon(self, now_ms: int) -> None:
+        """Read once, because the peers need long for a document."""
+        if now_ms - self._soon_ms >= SOON_INTERVAL_MS:
+            self._soon_ms = now_ms
+            self._soon = True
+            self._read_ms = now_ms + self._rng.randrange(SOON_JITTER_MS)
+
     def failed(self, now_ms: int) -> None:
         """Try again later after a call failed or the watch ended."""
         self._counters["store_failures"] += 1
         self._read_sent_ms = None
         self._behind = None
         self._back_off(now_ms)
-        if self.watching:
-            self._watch_ms = self._read_ms
+        self._watch_lost = self.watching
+        self._watch_ms = None
 
     def _back_off(self, now_ms: int) -> None:
         longest_ms = (
--- a/tests/control/test_replication.py
+++ b/tests/control/test_replication.py
@@ -72,6 +72,19 @@
     assert fleet.max_window_bytes() <= 40_000
 
 
+def test_new_file_is_read_from_the_store():
+    """Guards against a file that is replaced as a whole and then takes
+    the budgets of all nodes for many seconds.
+    """
+    fleet = started(12)
+    fleet.store.calls.clear()
+    fleet.apply(document(2, big_body(2)))
+    in_force(fleet, 2)
+    reads = [kind for _, kind in fleet.store.calls if kind == "read"]
+    assert len(reads) <= 12 + 9 * 3
+    assert fleet.max_window_bytes() <= 40_000
+
+
 def test_whole_file_arrives_within_the_budget():
     """Guards against a large document that starves probes or never
     arrives where the store cannot be reached.
