Add feature of the whole path with real processes

Callers hand datagrams to random balancers of four while one is stopped, killed or paused for 4 s, and junk is sent to both ports. Each scenario's account is checked against the servers' run records.

--- /dev/null
+++ b/tests/features/steps/whole_path.py
@@ -0,0 +1,147 @@
+import random
+import signal
+import socket
+import subprocess
+import time
+import urllib.request
+
+import behave
+
+import cyclamenridge.clock as clock_lib
+from demo import account
+from demo import deployment as deployment_lib
+
+CLOCK = clock_lib.MonotonicClock()
+# Start of the caller processes until their first requests.
+CALLER_START_S = 1.0
+
+
+def balancer(context, number):
+    return context.live.deployment().balancers[number - 1]
+
+
+def pause(seconds):
+    time.sleep(CALLER_START_S + seconds)
+
+
+@behave.given("a deployment")
+def start(context):
+    context.dep = context.live.deployment()
+
+
+@behave.given("a deployment with callers at work for {seconds:g} s")
+def start_with_callers(context, seconds):
+    start(context)
+    context.live.start_work(seconds)
+
+
+@behave.when("balancer {number:d} gets SIGTERM after {seconds:g} s")
+def stop_balancer(context, number, seconds):
+    pause(seconds)
+    name = context.dep.balancers[number - 1].name
+    context.dep.signal(name, signal.SIGTERM)
+
+
+@behave.then("the exit code of balancer {number:d} is {code:d}")
+def check_exit_code(context, number, code):
+    name = context.dep.balancers[number - 1].name
+    assert context.dep.processes.wait(name, 15) == code
+
+
+@behave.when("balancer {number:d} is killed after {seconds:g} s")
+def kill_balancer(context, number, seconds):
+    pause(seconds)
+    killed = context.dep.balancers[number - 1]
+    now_ms = CLOCK.now_ms()
+    context.dep.signal(killed.name, signal.SIGKILL)
+    context.live.faults.append(account.Fault(str(killed.peer), now_ms, now_ms))
+
+
+@behave.when("balancer {number:d} is paused from {begin:g} s to {end:g} s")
+def pause_balancer(context, number, begin, end):
+    pause(begin)
+    paused = context.dep.balancers[number - 1]
+    from_ms = CLOCK.now_ms()
+    context.dep.signal(paused.name, signal.SIGSTOP)
+    time.sleep(end - begin)
+    context.dep.signal(paused.name, signal.SIGCONT)
+    context.live.faults.append(
+        account.Fault(str(paused.peer), from_ms, CLOCK.now_ms())
+    )
+
+
+@behave.then("the account is right")
+def check_account(context):
+    if not hasattr(context, "account"):
+        context.account = context.live.account()
+    assert context.account.ok, context.account
+    assert context.account.broken_flows == 0, context.account
+
+
+@behave.then("no outcome is unknown")
+def check_no_unknown(context):
+    context.account = context.live.account()
+    assert context.account.unknown == 0, context.account
+
+
+@behave.then("balancer {number:d} serves again")
+def check_serves(context, number):
+    status = context.dep.status(context.dep.balancers[number - 1])
+    assert status is not None
+    assert status["state"] == "serving", status
+
+
+@behave.when(
+    "{count:d} malformed datagrams are sent to both ports of "
+    "balancer {number:d}"
+)
+def send_malformed(context, count, number):
+    rng = random.Random(4)
+    target = context.dep.balancers[number - 1]
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        # Inside the networks of the deployment, so that the peer port
+        # has to look at the content.
+        sock.bind(("127.0.0.11", 0))
+        for index in range(count):
+            data = rng.randbytes(rng.choice([0, 1, 9, 60, 1400, 1500, 9000]))
+            if index % 3 == 0:
+                data = bytes([1 + index % 2]) + data[:1399]
+            sock.sendto(data, target.caller.as_tuple())
+            sock.sendto(data, target.peer.as_tuple())
+            if index % 50 == 0:
+                time.sleep(0.005)
+
+
+@behave.then("balancer {number:d} counts them and answers a request")
+def check_counts(context, number):
+    target = context.dep.balancers[number - 1]
+    url = f"http://{target.admin}/metrics"
+    with urllib.request.urlopen(url, timeout=3) as answer:
+        text = answer.read().decode()
+    for name in (
+        "datagrams_malformed",
+        "peer_datagrams_refused",
+        "caller_datagrams_oversized",
+        "peer_datagrams_oversized",
+    ):
+        line = f"cyclamenridge_{name}_total "
+        values = [
+            float(row.removeprefix(line))
+            for row in text.splitlines()
+            if row.startswith(line)
+        ]
+        assert values and values[0] > 10, (name, values)
+    assert "cyclamenridge_internal_errors_total" not in text
+    try:
+        answer = context.dep.command(
+            "call",
+            f"--balancer={target.caller}",
+            "--service=counter",
+            f"--customer={deployment_lib.CUSTOMERS[0]}",
+            "--kind=setting",
+            "hello",
+        )
+    except subprocess.SubprocessError as exc:
+        raise AssertionError("no answer") from exc
+    assert answer.startswith("counter/counter-"), answer
+    assert answer.endswith(" hello"), answer
