--- a/benchmarks/datapath_core.py
+++ b/benchmarks/datapath_core.py
@@ -45,6 +45,9 @@
         ("attach", backend.Attached(1)),
         ("detach", backend.Empty()),
         ("load", backend.Load(0, 0, 0)),
+        ("run", backend.RunResult(b"done", backend.Load(0, 0, 0))),
+        ("cancel", backend.RunStatus(backend.RunState.NOT_RUN)),
+        ("resolve", backend.RunStatus(backend.RunState.NOT_RUN)),
     )
 }
 
