--- a/tests/node/test_leaving_server.py
+++ b/tests/node/test_leaving_server.py
@@ -62,3 +62,45 @@
         world.fleet.run(3000)
         assert feed.last_seq > last_seq
         assert not feed.lost
+
+
+def test_leaving_server_is_known_where_nobody_watches_the_list():
+    """Guards against new work on a server that only the list calls leaving.
+
+    No member of the home set watches the platform's list.
+    """
+    world = world_lib.World(nodes=8, one_domain=True)
+    fleet = world.fleet
+    fleet.run(5_000)
+    watching = {n.name for n in fleet.nodes.values() if n.watching}
+    assert len(watching) == 3
+    dumps = [n.core.dump(fleet.now_ms) for n in fleet.nodes.values()]
+    home = next(
+        service.home
+        for dump in dumps
+        for service in dump.services
+        if service.service == "counter"
+    )
+    for name in home:
+        if name in watching:
+            fleet.nodes[name].watching = False
+    fleet.leaving.add(REF)
+    fleet.run(3_000)
+    assert work_of(world) == 0
+    fleet.leaving.discard(REF)
+    fleet.run(8_000)
+    assert work_of(world) > 0
+
+
+def work_of(world):
+    """Return how many of many requests at once run on c0."""
+    before = sum(r.server == REF.server for r in world.oracle.log)
+    sessions = [world.open() for _ in range(8)]
+    for request in [
+        world.caller.call(session, "change")
+        for session in sessions
+        for _ in range(4)
+    ]:
+        world.finish(request)
+    after = sum(r.server == REF.server for r in world.oracle.log)
+    return after - before
