Poll a scheduler again only when a request was queued again

A second poll after each one found nothing in almost all cases, and made four polls of each request.

python -m pytest tests/node tests/session tests/feed: 69 passed.

--- a/src/cyclamenridge/session/execution.py
+++ b/src/cyclamenridge/session/execution.py
@@ -54,6 +54,7 @@
         self._listener = listener
         self._active: dict[RequestKey, Active] = {}
         self._sent: dict[RequestKey, Active] = {}
+        self._queued_again = False
 
     @property
     def active_count(self) -> int:
@@ -121,13 +122,14 @@
     def poll(self, now_ms: int, runtime: services_lib.Runtime) -> None:
         """Carry out what the scheduler of a service decided."""
         for _ in range(_MAX_POLLS):
+            self._queued_again = False
             poll = runtime.scheduler.poll(now_ms)
-            if not poll.assignments and not poll.refusals:
-                return
             for refusal in poll.refusals:
                 self.refused(now_ms, refusal)
             for assignment in poll.assignments:
                 self._dispatch(now_ms, runtime, assignment)
+            if not self._queued_again:
+                return
 
     def answered(
         self,
@@ -318,6 +320,7 @@
             self._finish(now_ms, active, Outcome.NOT_RUN, Reason.NO_SERVER)
             return
         active.phase = Phase.QUEUED
+        self._queued_again = True
         refusal = runtime.scheduler.not_run(
             now_ms, active.request.key, active.ref.server, error
         )
