--- a/src/cyclamenridge/feed/owner.py
+++ b/src/cyclamenridge/feed/owner.py
@@ -1,6 +1,5 @@
 """Feeds whose caller this node serves, and their re-homing."""
 
-import collections
 import sys
 
 import msgspec
@@ -9,6 +8,7 @@
 from cyclamenridge.config import model
 from cyclamenridge.feed import flow as flow_lib
 from cyclamenridge.feed import grants
+from cyclamenridge.feed import pacing
 from cyclamenridge.feed import table as table_lib
 from cyclamenridge.node import context as context_lib
 from cyclamenridge.node import events
@@ -27,9 +27,6 @@
 State = flow_lib.State
 
 FEED_IDLE_MS = 60_000
-PROBE_INTERVAL_MS = 1000
-MAX_PROBES_PER_TICK = 200
-MAX_ATTACHES_PER_TICK = 1000
 MAX_ORPHANS = 1000
 # Subscriptions of a session above which those of ended feeds are dropped.
 MAX_NONCES = 64
@@ -63,8 +60,7 @@
         # Flows that a server may have created although the feed was then
         # placed elsewhere, because the link broke before the answer.
         self._orphans: dict[ServerRef, dict[int, int]] = {}
-        self._attach_queue: collections.deque[int] = collections.deque()
-        self._probe_queue: collections.deque[int] = collections.deque()
+        self.pacer = pacing.AttachPacer(self._table, self._attach)
 
     @property
     def feed_count(self) -> int:
@@ -244,8 +240,8 @@
             if feed.incarnation not in (None, identity.incarnation):
                 self._broken(now_ms, feed)
             else:
-                self._attach_queue.append(ident)
-        self._drain_queue(now_ms)
+                self.pacer.add(ident)
+        self.pacer.step(now_ms)
 
     def link_lost(self, now_ms: int, ref: ServerRef) -> None:
         """Note that the feeds of a server get no events for now."""
@@ -258,7 +254,7 @@
 
     def tick(self, now_ms: int) -> None:
         """Expire feeds and waits, and attach what is queued."""
-        self._drain_queue(now_ms)
+        self.pacer.step(now_ms)
         for feed in list(self._table.waiting.values()):
             if now_ms - feed.waiting_ms < flow_lib.ATTACH_LIMIT_MS:
                 continue
@@ -274,23 +270,6 @@
             self._ctx.counters["feeds_expired"] += 1
             self._table.remove(now_ms, feed)
 
-    def probe(self, now_ms: int) -> None:
-        """Find out during a planned stop which feeds have moved.
-
-        An attach with the present epoch is refused as soon as another
-        balancer has attached the feed.
-        """
-        if not self._probe_queue:
-            self._probe_queue.extend(self._table)
-        for _ in range(min(MAX_PROBES_PER_TICK, len(self._probe_queue))):
-            feed = self._table.get(self._probe_queue[0])
-            if feed is not None:
-                if now_ms - feed.attach_ms < PROBE_INTERVAL_MS:
-                    return
-                if feed.state is State.ATTACHED:
-                    self._attach(now_ms, feed, feed.epoch)
-            self._probe_queue.popleft()
-
     def _take_over(
         self,
         now_ms: int,
@@ -431,12 +410,6 @@
             # The next keepalive starts again from the caller's token.
             self._table.remove(now_ms, feed)
 
-    def _drain_queue(self, now_ms: int) -> None:
-        for _ in range(min(MAX_ATTACHES_PER_TICK, len(self._attach_queue))):
-            feed = self._table.get(self._attach_queue.popleft())
-            if feed is not None and feed.state is not State.ATTACHED:
-                self._attach(now_ms, feed, feed.epoch)
-
     def _detach(
         self, now_ms: int, ref: ServerRef, ident: int, epoch: int
     ) -> None:
--- a/src/cyclamenridge/node/stop.py
+++ b/src/cyclamenridge/node/stop.py
@@ -64,7 +64,7 @@
             self._sessions.stop_partial(now_ms, caller.Reason.LEAVING)
             self._executor.cancel_all(now_ms, caller.Reason.LEAVING)
             return None
-        self._feeds.probe(now_ms)
+        self._feeds.pacer.probe(now_ms)
         if (
             unfinished
             or self._feeds.feed_count
