--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -7,6 +7,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 from typing import Any
 
@@ -129,6 +130,7 @@
         self.connections = 0
         self.draining = False
         self.draining_known = False
+        self.left = math.inf
         self.running = 0
         self.sent_while_leaving = 0
         self.failures = 0
@@ -283,6 +285,18 @@
             lambda error: self.events.after(self.delay(), reply, error),
         )
 
+    def drain(self, server: SimServer) -> None:
+        """Start the drain of a server; no balancer knows yet."""
+        server.draining = True
+        server.left = self.events.now
+
+    def capacity_ms(self, start: float, end: float) -> float:
+        """Return the slot time of the servers that are not leaving."""
+        return sum(
+            server.slots * (min(end, max(start, server.left)) - start)
+            for server in self.servers.values()
+        )
+
     def free_slots(self) -> int:
         """Return the slots that are really free."""
         return sum(
