--- a/tests/control/test_codec.py
+++ b/tests/control/test_codec.py
@@ -41,7 +41,7 @@
     ),
     messages.Shares((messages.Share(2**32 - 1, ((7, 1.5),), ("srv-1",)),)),
     messages.NamesWanted(),
-    messages.Pinned("album", pinned.build("srv-1", [b"flow-1"])[0]),
+    messages.Pinned("album", next(iter(pinned.build("srv-1", [b"flow-1"])))),
     messages.Pinned("album", pinned.completion(("srv-1",))),
 ]
 OLD, NEW = b"o" * 32, b"n" * 32
