Vary the network of the random runs

All runs had the same loss, copies and delays. They now range from none to 15% loss, 30% copies and 20% datagrams delayed by up to 3 s.

--- a/tests/node/chaos.py
+++ b/tests/node/chaos.py
@@ -1,5 +1,7 @@
 """Random faults for long runs; the state machine uses the same steps."""
 
+import random
+
 from cyclamenridge.node import events
 from tests.node import world as world_lib
 
@@ -15,13 +17,14 @@
     """Steps on a world; each leaves at least one node alive."""
 
     def __init__(self, seed, *, nodes=4):
+        network = random.Random(seed)
         self.world = world_lib.World(
             seed,
             nodes=nodes,
             callers_count=3,
-            loss=0.03,
-            copies=0.05,
-            slow=0.03,
+            loss=network.choice((0.0, 0.03, 0.15)),
+            copies=network.choice((0.0, 0.05, 0.3)),
+            slow=network.choice((0.0, 0.03, 0.2)),
         )
         self.fleet = self.world.fleet
         self.oracle = self.world.oracle
--- a/tests/node/world.py
+++ b/tests/node/world.py
@@ -88,7 +88,7 @@
             for index in range(callers_count)
         ]
         self.caller = self.callers[0]
-        self.fleet.until(self.ready, 15_000)
+        self.fleet.until(self.ready, 30_000)
 
     def ready(self):
         """Tell whether all nodes know the members and serve."""
