Treat what rounding leaves as no spare slots

Change: less than 1e-6 of a slot is no spare; within a kind, slots are divided so that the members' totals are even.

--- a/src/cyclamenridge/scheduling/division.py
+++ b/src/cyclamenridge/scheduling/division.py
@@ -10,7 +10,8 @@
 from cyclamenridge.scheduling import usage
 
 SHARES_INTERVAL_MS = 500
-DEMAND_INTERVAL_MS = 1000
+# Members are told every second; only a balancer that tells nobody gets here.
+DEMAND_INTERVAL_MS = 2000
 
 
 class SlotDivision:
--- a/src/cyclamenridge/scheduling/shares.py
+++ b/src/cyclamenridge/scheduling/shares.py
@@ -12,6 +12,8 @@
 # Demands are told every second; one lost message changes nothing.
 SILENT_AFTER_MS = 2500
 FORGOTTEN_AFTER_MS = 5000
+# Less than this is left by rounding, not by members that want less.
+MIN_SPARE_SLOTS = 1e-6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,18 +113,40 @@
     )
 
 
-def max_min(pool: float, demands: Mapping[str, float]) -> dict[str, float]:
-    """Divide a pool so that the smallest parts are as large as possible."""
-    result: dict[str, float] = {}
-    left = len(demands)
-    for member, wanted in sorted(
-        demands.items(), key=lambda item: (item[1], item[0])
-    ):
-        part = max(0.0, min(wanted, pool / left))
-        result[member] = part
-        pool -= part
-        left -= 1
-    return result
+def max_min(
+    pool: float,
+    demands: Mapping[str, float],
+    held: Mapping[str, float] | None = None,
+) -> dict[str, float]:
+    """Divide a pool so that the smallest totals are as large as possible.
+
+    :param held: what each member has already, which counts in its total
+    """
+    held = held or {}
+    # The level to which totals are filled rises; a member takes part from
+    # what it holds up to what it holds and wants.
+    steps = sorted(
+        step
+        for member, wanted in demands.items()
+        if wanted > 0
+        for step in (
+            (held.get(member, 0.0), 1),
+            (held.get(member, 0.0) + wanted, -1),
+        )
+    )
+    level, active = 0.0, 0
+    for height, change in steps:
+        if active:
+            if pool <= active * (height - level):
+                level += pool / active
+                break
+            pool -= active * (height - level)
+        level = height
+        active += change
+    return {
+        member: min(max(0.0, wanted), max(0.0, level - held.get(member, 0.0)))
+        for member, wanted in demands.items()
+    }
 
 
 def even_slots(capacity: int, count: int) -> list[int]:
@@ -164,15 +188,18 @@
             name: claims[name].demand.get(kind, 0.0) - kinds[name][kind]
             for name in order
         }
-        for name, part in max_min(max(0.0, free), wanted).items():
+        held = {name: sum(kinds[name].values()) for name in order}
+        for name, part in max_min(max(0.0, free), wanted, held).items():
             kinds[name][kind] += part
             free -= part
+    if free < MIN_SPARE_SLOTS:
+        free = 0.0
     heard = sum(1 - claims[name].reserved for name in order) or 1.0
     return {
         name: Allocation(
             kinds[name],
             floor_parts[name],
-            spare=max(0.0, free) * (1 - claims[name].reserved) / heard,
+            spare=free * (1 - claims[name].reserved) / heard,
             reserved=reserved[name],
         )
         for name in order
