--- a/src/cyclamenridge/scheduling/retry.py
+++ b/src/cyclamenridge/scheduling/retry.py
@@ -19,7 +19,7 @@
 
     def __init__(self, now_ms: int, *, percent: float = 0.0) -> None:
         self.percent = percent
-        self._tokens = MAX_TOKENS / 2
+        self._tokens = MAX_TOKENS
         self._updated_ms = now_ms
 
     def refill(self, now_ms: int) -> None:
