--- a/src/cyclamenridge/control/plane.py
+++ b/src/cyclamenridge/control/plane.py
@@ -228,7 +228,7 @@
     def _serve(
         self, now_ms: int, source: Address, fetch: messages.Fetch
     ) -> None:
-        chunks = self._replicator.serve(fetch)
+        chunks = self._replicator.serve(now_ms, source, fetch)
         for chunk in chunks:
             self._out.send(now_ms, source, chunk, Priority.CHUNK)
         if not chunks and self._replicator.revision > fetch.wanted:
--- a/src/cyclamenridge/control/replication.py
+++ b/src/cyclamenridge/control/replication.py
@@ -28,6 +28,9 @@
 # second, and the peers go on when it did not help within the time.
 LONG_TRANSFER_CHUNKS = 8
 STORE_FIRST_MS = 1500
+# Long transfers are served to one peer at a time, so that the first one
+# ends soon and its receiver becomes a source for the others.
+TURN_MS = 2500
 MAX_CHUNKS = transfer.MAX_DOCUMENT_BYTES // messages.MAX_CHUNK_BYTES + 1
 
 
@@ -73,6 +76,8 @@
         self._conflict = 0
         self._store_asked = 0
         self._store_wanted = False
+        self._turn: Address | None = None
+        self._turn_ms = 0
         # Set after a transfer relative to a base failed, because the peers
         # may hold another document under the base's revision.
         self._whole = False
@@ -162,11 +167,6 @@
             return self._ask(now_ms)
         self._counters["config_fetch_timeouts"] += 1
         fetching.attempts += 1
-        # After several failures the next header of a peer starts anew, with
-        # a source that has been heard since.
-        if fetching.attempts > MAX_SOURCES:
-            self._fetching = None
-            return None
         return self._ask(now_ms)
 
     def _ask(self, now_ms: int) -> Request:
@@ -187,7 +187,7 @@
         count = len(run) if fetching.total else CHUNKS_PER_FETCH
         fetching.asked = tuple(range(first, first + count))
         wait_ms = min(
-            MAX_FETCH_WAIT_MS, FETCH_TIMEOUT_MS * 2**fetching.attempts
+            MAX_FETCH_WAIT_MS, FETCH_TIMEOUT_MS << min(fetching.attempts, 8)
         )
         fetching.deadline_ms = now_ms + self._rng.randint(
             FETCH_TIMEOUT_MS, max(FETCH_TIMEOUT_MS, wait_ms)
@@ -199,7 +199,9 @@
             messages.Fetch(fetching.revision, fetching.base, first, count),
         )
 
-    def serve(self, fetch: messages.Fetch) -> list[messages.Chunk]:
+    def serve(
+        self, now_ms: int, source: Address, fetch: messages.Fetch
+    ) -> list[messages.Chunk]:
         """Return the chunks that answer a fetch."""
         document = self.document
         if document is None or document.revision != fetch.wanted:
@@ -214,6 +216,14 @@
         size = messages.MAX_CHUNK_BYTES
         total = -(-len(blob) // size)
         last = min(total, fetch.first + min(fetch.count, CHUNKS_PER_FETCH))
+        if total > LONG_TRANSFER_CHUNKS:
+            if source != self._turn and now_ms < self._turn_ms:
+                # The first chunk tells a peer how long the transfer is.
+                self._counters["config_fetch_busy"] += 1
+                last = min(last, 1)
+            else:
+                self._turn = source
+                self._turn_ms = now_ms + TURN_MS
         return [
             messages.Chunk(
                 wanted=document.revision,
--- /dev/null
+++ b/tests/control/test_demands.py
@@ -0,0 +1,68 @@
+from benchmarks import control_fleet
+from cyclamenridge.control import demand
+from cyclamenridge.control import messages
+from cyclamenridge.control import types
+from cyclamenridge.scheduling import types as scheduling
+
+
+def told(slots=1.5, service="album", draining=()):
+    kinds = (scheduling.KindDemand(f"{service}-edits", slots),)
+    return scheduling.ServiceDemand(service, kinds, draining)
+
+
+def test_demands_arrive_every_second_in_the_short_form():
+    """Guards against shares that decay because demands come late, and
+    against names that take the budget of a node with many services.
+    """
+    fleet = control_fleet.Fleet(1)
+    nodes = fleet.grow(3)
+    fleet.acquaint()
+    demands = (told(), told(0.5, "intake", ("srv-9",)))
+    targets = tuple(
+        types.DemandTarget(item, ("bal-002", "bal-003")) for item in demands
+    )
+    nodes[0].plane.set_demands(0, targets)
+    fleet.run(20_000)
+    heard = [at for at, item in nodes[1].demands if item.demand == demands[0]]
+    assert len(heard) >= 19
+    assert {item.demand for _, item in nodes[2].demands} == set(demands)
+    sent = nodes[0].plane.counters["control_bytes_sent_demand"]
+    assert sent < 2 * 20 * 190
+
+
+def test_restarted_peer_gets_the_names_again():
+    """Guards against a peer that cannot read demands after a restart."""
+    fleet = control_fleet.Fleet(1)
+    nodes = fleet.grow(3)
+    fleet.acquaint()
+    targets = (types.DemandTarget(told(), ("bal-002",)),)
+    nodes[0].plane.set_demands(0, targets)
+    fleet.run(8000)
+    fleet.kill(nodes[1])
+    fresh = fleet.add("bal-002", 2, incarnation=2)
+    fleet.until(lambda: len(fresh.demands) > 0, 4000)
+    assert fresh.plane.counters["demand_names_unknown"] <= 2
+
+
+def test_names_of_one_hash_are_never_confused(monkeypatch):
+    """Guards against a demand that is booked for another kind of work."""
+    monkeypatch.setattr(demand.token, "name_hash", lambda name: len(name))
+    names = demand.NameTable()
+    names.learn(told(service="album"))
+    share = messages.Share(5, ((11, 2.0),), ())
+    assert names.resolve(share) == told(2.0, "album")
+    names.learn(told(service="proof"))
+    assert names.resolve(share) is None
+
+
+def test_many_services_are_told_over_several_datagrams():
+    """Guards against a demand that no datagram can hold."""
+    fleet = control_fleet.Fleet(1)
+    nodes = fleet.grow(2)
+    fleet.acquaint()
+    demands = {told(1.0, f"service-{n:03}") for n in range(60)}
+    targets = tuple(types.DemandTarget(item, ("bal-002",)) for item in demands)
+    nodes[0].plane.set_demands(0, targets)
+    fleet.run(8000)
+    assert {item.demand for _, item in nodes[1].demands} == demands
+    assert nodes[0].plane.counters["control_oversized"] == 0
