Split the store client and the config commands into smaller files

Change: conversions between the gateway's messages and the store port are in adapters/etcd_messages.py, output and exit codes of the config commands in cli/config_output.py. No change of behaviour.

--- a/src/cyclamenridge/adapters/etcd.py
+++ b/src/cyclamenridge/adapters/etcd.py
@@ -1,7 +1,6 @@
 """Client of the JSON gateway of etcd v3."""
 
 import asyncio
-import base64
 from collections.abc import AsyncIterator
 from typing import TypeVar
 
@@ -88,7 +87,7 @@
 
     async def get(self, key: str, *, revision: int = 0) -> store.GetResult:
         """Read one key, as it was at a store revision if one is given."""
-        request = {"key": _encode(key.encode())}
+        request = {"key": messages.encode_bytes(key.encode())}
         if revision:
             request["revision"] = str(revision)
         try:
@@ -97,7 +96,7 @@
             if exc.code != _CODE_OUT_OF_RANGE:
                 raise
             raise store.CompactedError(str(exc)) from exc
-        entries = _entries(answer.kvs)
+        entries = messages.entries(answer.kvs)
         if len(entries) > 1 or any(entry.key != key for entry in entries):
             raise errors.StoreError("the store answered with another key")
         return store.GetResult(
@@ -106,8 +105,8 @@
 
     async def range(self, prefix: str) -> store.RangeResult:
         """Read all keys that begin with a prefix."""
-        answer = await self._range(_prefix_range(prefix))
-        entries = _entries(answer.kvs)
+        answer = await self._range(messages.prefix_range(prefix))
+        entries = messages.entries(answer.kvs)
         if answer.more or not all(
             entry.key.startswith(prefix) for entry in entries
         ):
@@ -128,8 +127,8 @@
                 f"the value has {len(value)} bytes, the store takes "
                 f"{store.MAX_VALUE_BYTES}"
             )
-        encoded = _encode(key.encode())
-        put = {"key": encoded, "value": _encode(value)}
+        encoded = messages.encode_bytes(key.encode())
+        put = {"key": encoded, "value": messages.encode_bytes(value)}
         if lease_id:
             put["lease"] = str(lease_id)
         data = await self._write(
@@ -151,7 +150,7 @@
         revision = answer.header.revision
         if answer.succeeded:
             return store.PutResult(True, revision)
-        entries = _entries(
+        entries = messages.entries(
             tuple(
                 entry
                 for response in answer.responses
@@ -168,9 +167,9 @@
     ) -> AsyncIterator[store.WatchBatch]:
         """Follow the changes of a key, or of all keys with a prefix."""
         if prefix:
-            selection = _prefix_range(key)
+            selection = messages.prefix_range(key)
         else:
-            selection = {"key": _encode(key.encode())}
+            selection = {"key": messages.encode_bytes(key.encode())}
         next_revision = start_revision
         while True:
             request = {
@@ -310,7 +309,7 @@
                             await response.content.read(_READ_BYTES),
                         )
                     async for line in _lines(response.content):
-                        batch = _batch(line, start_revision)
+                        batch = messages.batch(line, start_revision)
                         connected = True
                         self._preferred = index
                         yield batch
@@ -344,30 +343,6 @@
     return text.rstrip("/")
 
 
-def _encode(data: bytes) -> str:
-    return base64.b64encode(data).decode()
-
-
-def _prefix_range(prefix: str) -> dict[str, str]:
-    """Return the range of keys from a prefix up to its successor."""
-    start = prefix.encode()
-    end = start[:-1] + bytes([start[-1] + 1])
-    return {"key": _encode(start), "range_end": _encode(end)}
-
-
-def _entries(kvs: tuple[messages.KeyValue, ...]) -> tuple[store.KeyValue, ...]:
-    return tuple(
-        store.KeyValue(_key(kv), kv.value, kv.mod_revision) for kv in kvs
-    )
-
-
-def _key(kv: messages.KeyValue) -> str:
-    try:
-        return kv.key.decode()
-    except UnicodeError as exc:
-        raise errors.StoreError("a key of the store is not UTF-8") from exc
-
-
 def _decode_written(data: bytes, kind: type[T]) -> T:
     """Decode the answer to a write, whose effect is not known otherwise."""
     try:
@@ -407,33 +382,3 @@
         for line in lines:
             if line.strip():
                 yield bytes(line)
-
-
-def _batch(line: bytes, start_revision: int) -> store.WatchBatch:
-    answer = messages.decode(line, messages.WatchAnswer)
-    result = answer.result
-    if result is None:
-        text = answer.error.message if answer.error else "no result"
-        raise errors.StoreError(f"the watch ended: {text[:200]}")
-    if result.canceled:
-        reason = (
-            result.cancel_reason
-            or f"revisions before {result.compact_revision} are compacted"
-        )
-        raise store.WatchLostError(f"the store ended the watch: {reason}")
-    if result.created and result.header.revision + 1 < start_revision:
-        raise store.WatchLostError(
-            f"the store is at revision {result.header.revision}, which is "
-            f"older than {start_revision - 1} that was seen before"
-        )
-    return store.WatchBatch(
-        result.header.revision,
-        tuple(
-            store.Change(
-                _key(event.kv),
-                None if event.type == "DELETE" else event.kv.value,
-                event.kv.mod_revision,
-            )
-            for event in result.events
-        ),
-    )
--- a/src/cyclamenridge/adapters/etcd_messages.py
+++ b/src/cyclamenridge/adapters/etcd_messages.py
@@ -4,12 +4,14 @@
 out fields that have their default value.
 """
 
+import base64
 from typing import Annotated
 from typing import TypeVar
 
 import msgspec
 
 from cyclamenridge import errors
+from cyclamenridge.ports import store
 
 T = TypeVar("T")
 
@@ -121,3 +123,63 @@
         raise errors.StoreError(
             f"the store's answer is not valid: {exc}"
         ) from exc
+
+
+def encode_bytes(data: bytes) -> str:
+    """Return bytes as the gateway writes them."""
+    return base64.b64encode(data).decode()
+
+
+def prefix_range(prefix: str) -> dict[str, str]:
+    """Return the range of keys from a prefix up to its successor."""
+    start = prefix.encode()
+    end = start[:-1] + bytes([start[-1] + 1])
+    return {"key": encode_bytes(start), "range_end": encode_bytes(end)}
+
+
+def entries(kvs: tuple[KeyValue, ...]) -> tuple[store.KeyValue, ...]:
+    """Return entries in the form of the store port."""
+    return tuple(
+        store.KeyValue(_key(kv), kv.value, kv.mod_revision) for kv in kvs
+    )
+
+
+def _key(kv: KeyValue) -> str:
+    try:
+        return kv.key.decode()
+    except UnicodeError as exc:
+        raise errors.StoreError("a key of the store is not UTF-8") from exc
+
+
+def batch(line: bytes, start_revision: int) -> store.WatchBatch:
+    """Decode one line of a watch that began at ``start_revision``.
+
+    :raises WatchLostError: when the watch cannot continue without a gap
+    """
+    answer = decode(line, WatchAnswer)
+    result = answer.result
+    if result is None:
+        text = answer.error.message if answer.error else "no result"
+        raise errors.StoreError(f"the watch ended: {text[:200]}")
+    if result.canceled:
+        reason = (
+            result.cancel_reason
+            or f"revisions before {result.compact_revision} are compacted"
+        )
+        raise store.WatchLostError(f"the store ended the watch: {reason}")
+    if result.created and result.header.revision + 1 < start_revision:
+        raise store.WatchLostError(
+            f"the store is at revision {result.header.revision}, which is "
+            f"older than {start_revision - 1} that was seen before"
+        )
+    return store.WatchBatch(
+        result.header.revision,
+        tuple(
+            store.Change(
+                _key(event.kv),
+                None if event.type == "DELETE" else event.kv.value,
+                event.kv.mod_revision,
+            )
+            for event in result.events
+        ),
+    )
--- a/src/cyclamenridge/cli/config.py
+++ b/src/cyclamenridge/cli/config.py
@@ -3,27 +3,22 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Iterator
-import contextlib
-import enum
-import json
 import pathlib
 import random
 import shlex
 import sys
 from typing import Annotated
-from typing import NoReturn
 
 import typer
 
 from cyclamenridge.adapters import etcd
+from cyclamenridge.cli import config_output as output
 import cyclamenridge.clock as clock_lib
 from cyclamenridge.config import diff
 from cyclamenridge.config import document as document_lib
 from cyclamenridge.config import findings as findings_lib
 from cyclamenridge.config import loader
 from cyclamenridge.config import operator as operator_lib
-import cyclamenridge.errors as errors
 
 Outcome = operator_lib.Outcome
 
@@ -35,25 +30,6 @@
 )
 
 
-class ExitCode(enum.IntEnum):
-    """Exit codes of these commands."""
-
-    DONE = 0
-    USAGE = 2
-    INVALID_FILE = 3
-    CONFLICT = 4
-    NOT_APPLIED = 5
-    UNKNOWN = 6
-
-
-_EXIT_CODES = {
-    Outcome.APPLIED: ExitCode.DONE,
-    Outcome.UNCHANGED: ExitCode.DONE,
-    Outcome.CONFLICT: ExitCode.CONFLICT,
-    Outcome.NOT_APPLIED: ExitCode.NOT_APPLIED,
-    Outcome.UNKNOWN: ExitCode.UNKNOWN,
-}
-
 File = Annotated[
     pathlib.Path,
     typer.Argument(
@@ -87,10 +63,10 @@
 @app.command()
 def check(file: File, as_json: Json = False) -> None:
     """Check a file without the store."""
-    with _errors(as_json):
+    with output.reported(as_json):
         read = _read_file(file)
     if as_json:
-        _write_json({"outcome": "valid", "exit_code": 0})
+        output.write_json({"outcome": "valid", "exit_code": 0})
     else:
         typer.echo(f"{file}: valid, deployment {read.config.deployment}")
 
@@ -107,11 +83,11 @@
     as_json: Json = False,
 ) -> None:
     """Apply a file as the next revision."""
-    with _errors(as_json):
+    with output.reported(as_json):
         read = _read_file(file)
     if None not in (base, read.based_on) and base != read.based_on:
-        _fail(
-            ExitCode.USAGE,
+        output.fail(
+            output.ExitCode.USAGE,
             f"--base {base} and based_on {read.based_on} of the file differ",
             as_json,
         )
@@ -123,14 +99,14 @@
         return await opened.apply(read, base=base)
 
     try:
-        with _errors(as_json, prefix="not applied: "):
+        with output.reported(as_json, prefix="not applied: "):
             result = _with_operator(store, operate, wait_s=wait)
     except KeyboardInterrupt:
         apply_id = operator.pending_apply_id if operator else None
         if apply_id is None:
-            _fail(ExitCode.NOT_APPLIED, "interrupted", as_json)
-        _fail(
-            ExitCode.UNKNOWN,
+            output.fail(output.ExitCode.NOT_APPLIED, "interrupted", as_json)
+        output.fail(
+            output.ExitCode.UNKNOWN,
             f"interrupted; {_find_out(store, apply_id)}",
             as_json,
             apply_id=apply_id,
@@ -157,7 +133,7 @@
     document = _stored_document(store, as_json)
     body = document.body
     if as_json:
-        _write_json(
+        output.write_json(
             {
                 "revision": document.revision,
                 "digest": document.digest,
@@ -174,17 +150,19 @@
 @app.command("diff")
 def diff_command(file: File, store: StoreUrls, as_json: Json = False) -> None:
     """Show what a file would change."""
-    with _errors(as_json):
+    with output.reported(as_json):
         read = _read_file(file)
     document = _stored_document(store, as_json)
-    with _errors(as_json, stored=True):
+    with output.reported(as_json, stored=True):
         stored = loader.parse(document.body, source="<stored>")
     changes = diff.compare(stored, read.config)
     if as_json:
-        _write_json(
+        output.write_json(
             {
                 "revision": document.revision,
-                "changes": [_change(change) for change in changes],
+                "changes": [
+                    output.change_values(change) for change in changes
+                ],
             }
         )
         return
@@ -198,7 +176,7 @@
     document = _stored_document(store, as_json)
     entries = ((document.revision, document.apply_id), *document.history)
     if as_json:
-        _write_json(
+        output.write_json(
             {
                 "history": [
                     {"revision": revision, "apply_id": apply_id}
@@ -256,23 +234,25 @@
 
 
 def _stored_document(urls: list[str], as_json: bool) -> document_lib.Document:
-    with _errors(as_json):
+    with output.reported(as_json):
         stored = _with_operator(urls, lambda operator: operator.read())
     if stored.document is None:
-        _fail(
-            ExitCode.NOT_APPLIED, "no configuration was applied yet", as_json
+        output.fail(
+            output.ExitCode.NOT_APPLIED,
+            "no configuration was applied yet",
+            as_json,
         )
     return stored.document
 
 
 def _show_apply_id(urls: list[str], apply_id: str, as_json: bool) -> None:
-    with _errors(as_json, unreadable=ExitCode.UNKNOWN):
+    with output.reported(as_json, unreadable=output.ExitCode.UNKNOWN):
         found = _with_operator(
             urls, lambda operator: operator.resolve(apply_id)
         )
-    code = _EXIT_CODES[found.outcome]
+    code = output.EXIT_CODES[found.outcome]
     if as_json:
-        _write_json(
+        output.write_json(
             {
                 "outcome": found.outcome.value,
                 "revision": found.revision,
@@ -281,39 +261,45 @@
             }
         )
         raise typer.Exit(code)
-    if code is ExitCode.DONE:
+    if code is output.ExitCode.DONE:
         typer.echo(f"applied as revision {found.revision}")
         return
-    text = "not applied" if code is ExitCode.NOT_APPLIED else "not yet known"
-    _fail(code, f"{text}: {found.reason}", as_json)
+    text = (
+        "not applied"
+        if code is output.ExitCode.NOT_APPLIED
+        else "not yet known"
+    )
+    output.fail(code, f"{text}: {found.reason}", as_json)
 
 
 def _report(
     result: operator_lib.ApplyResult, urls: list[str], as_json: bool
 ) -> None:
-    code = _EXIT_CODES[result.outcome]
+    code = output.EXIT_CODES[result.outcome]
     if as_json:
-        _write_json(
+        output.write_json(
             {
                 "outcome": result.outcome.value,
                 "revision": result.revision,
                 "base": result.base,
                 "apply_id": result.apply_id,
                 "reason": result.reason,
-                "changes": [_change(change) for change in result.changes],
+                "changes": [
+                    output.change_values(change) for change in result.changes
+                ],
                 "since_base": result.since_base,
                 "exit_code": code,
             }
         )
         raise typer.Exit(code)
-    if code is ExitCode.DONE:
+    if code is output.ExitCode.DONE:
         applied = result.outcome is Outcome.APPLIED
         note = f" (apply id {result.apply_id})" if applied else ""
         typer.echo(f"revision {result.revision} {result.outcome}{note}")
         for change in result.changes:
             typer.echo(str(change))
         return
-    if code is ExitCode.CONFLICT:
+    if code is output.ExitCode.CONFLICT:
         begin = (
             f"changes since revision {result.base}"
             if result.since_base
@@ -323,9 +309,9 @@
         for change in result.changes:
             typer.echo(str(change), err=True)
         raise typer.Exit(code)
-    if code is ExitCode.NOT_APPLIED:
-        _fail(code, f"not applied: {result.reason}", as_json)
-    _fail(
+    if code is output.ExitCode.NOT_APPLIED:
+        output.fail(code, f"not applied: {result.reason}", as_json)
+    output.fail(
         code,
         f"not yet known whether the file was applied: {result.reason}; "
         f"{_find_out(urls, result.apply_id)}",
@@ -339,79 +325,3 @@
         f"find out by: cyclamenridge config show {options} "
         f"--apply-id {apply_id}"
     )
-
-
-@contextlib.contextmanager
-def _errors(
-    as_json: bool,
-    *,
-    unreadable: ExitCode = ExitCode.NOT_APPLIED,
-    stored: bool = False,
-    prefix: str = "",
-) -> Iterator[None]:
-    """Turn errors into one line each and an exit code.
-
-    :param unreadable: exit code when the store cannot be read
-    :param stored: the checked file is the stored one
-    :param prefix: begins the line about a store that cannot be read
-    """
-    try:
-        yield
-    except document_lib.DocumentError as exc:
-        _fail(unreadable, f"{prefix}stored document: {exc}", as_json)
-    except findings_lib.InvalidConfigError as exc:
-        code = ExitCode.NOT_APPLIED if stored else ExitCode.INVALID_FILE
-        if as_json:
-            _write_json(
-                {
-                    "outcome": "invalid",
-                    "exit_code": code,
-                    "findings": [_finding(item) for item in exc.findings],
-                }
-            )
-        else:
-            for item in exc.findings:
-                typer.echo(str(item), err=True)
-        raise typer.Exit(code) from exc
-    except document_lib.BodyTooLongError as exc:
-        _fail(ExitCode.INVALID_FILE, str(exc), as_json)
-    except errors.ConfigError as exc:
-        _fail(ExitCode.USAGE, str(exc), as_json)
-    except errors.StoreError as exc:
-        _fail(unreadable, f"{prefix}{exc}", as_json)
-    except OSError as exc:
-        _fail(ExitCode.USAGE, str(exc), as_json)
-
-
-def _fail(
-    code: ExitCode, text: str, as_json: bool, **values: object
-) -> NoReturn:
-    line = " ".join(text.split())
-    if as_json:
-        _write_json({"error": line, "exit_code": code} | values)
-    else:
-        typer.echo(f"error: {line}", err=True)
-    raise typer.Exit(code)
-
-
-def _finding(finding: findings_lib.Finding) -> dict[str, object]:
-    return {
-        "file": finding.file,
-        "line": finding.line,
-        "key": finding.key,
-        "found": finding.found,
-        "allowed": finding.allowed,
-    }
-
-
-def _change(change: diff.Change) -> dict[str, object]:
-    return {
-        "kind": change.kind.value,
-        "path": list(change.path),
-        "old": change.old,
-        "new": change.new,
-    }
-
-
-def _write_json(value: dict[str, object]) -> None:
-    typer.echo(json.dumps(value))
