--- a/src/cyclamenridge/config/loader.py
+++ b/src/cyclamenridge/config/loader.py
@@ -2,13 +2,12 @@
 
 import dataclasses
 
-import yaml
-
 from cyclamenridge.config import findings as findings_lib
 from cyclamenridge.config import marked_yaml
 from cyclamenridge.config import model
 from cyclamenridge.config import references
 from cyclamenridge.config import schema
+import cyclamenridge.errors as errors
 
 BASED_ON = "based_on"
 
@@ -46,7 +45,7 @@
     text = text.removeprefix("\ufeff")
     content = marked_yaml.load(text, source=source)
     found = list(content.findings)
-    if content.root.flow_style:
+    if content.flow_style:
         # `config show` inserts a line before the first key.
         found.append(
             content.finding(
@@ -77,10 +76,11 @@
 
 def with_based_on(body: str, revision: int) -> str:
     """Return a body with ``based_on`` as its first key."""
-    content = marked_yaml.load(body, source="<document>")
-    mark = content.root.value[0][0].start_mark
+    place = marked_yaml.load(body, source="<document>").first_key
+    if place is None:
+        raise errors.ConfigError("the document has no key")
     lines = body.splitlines(keepends=True)
-    lines.insert(mark.line, f"{' ' * mark.column}{BASED_ON}: {revision}\n")
+    lines.insert(place.line, f"{' ' * place.column}{BASED_ON}: {revision}\n")
     return "".join(lines)
 
 
@@ -89,20 +89,16 @@
 ) -> bool:
     if isinstance(based_on, bool) or not isinstance(based_on, int):
         return False
-    (key, value), *others = content.root.value
+    place = content.first_key
     return (
         based_on >= 0
-        and key.value == BASED_ON
-        and key.start_mark.line == value.end_mark.line
-        and all(
-            other.start_mark.line > key.start_mark.line
-            for other, _ in others[:1]
-        )
+        and place is not None
+        and place.key == BASED_ON
+        and place.line == place.last_line
     )
 
 
 def _without_based_on(content: marked_yaml.MarkedYaml, text: str) -> str:
-    key: yaml.Node = content.root.value[0][0]
     lines = text.splitlines(keepends=True)
-    del lines[key.start_mark.line]
+    del lines[content.first_key.line]
     return "".join(lines)
--- a/src/cyclamenridge/config/schema.py
+++ b/src/cyclamenridge/config/schema.py
@@ -18,6 +18,13 @@
     "ends with a letter or digit"
 )
 _KEY_MARK = "[key]"
+_RULES = {
+    "missing": "a value, the key is required",
+    "string_pattern_mismatch": _NAME_RULE,
+    "dict_type": "a mapping",
+    "dataclass_type": "a mapping",
+    "tuple_type": "a list",
+}
 
 
 def check(
@@ -58,10 +65,8 @@
 
 
 def _allowed(error_type: str, message: str) -> str:
-    if error_type == "missing":
-        return "a value, the key is required"
-    if error_type == "string_pattern_mismatch":
-        return _NAME_RULE
+    if error_type in _RULES:
+        return _RULES[error_type]
     for prefix in ("Input should be ", "Value error, "):
         if message.startswith(prefix):
             return message.removeprefix(prefix)
--- a/tests/config/test_loader.py
+++ b/tests/config/test_loader.py
@@ -117,6 +117,9 @@
     ),
     ("deployment:", "based_on: x\ndeployment:", "based_on", "first key"),
     ("kinds:", "based_on: 3\nkinds:", "based_on", "first key"),
+    ("slots: 2", "slots: {a: 1}", ".slots", "a valid integer"),
+    ("[127.0.1.0/24]", "127.0.1.0/24", ".networks", "a list"),
+    ("\ncustomers:", "\ncustomers: [a]\nx:", "customers", "a mapping"),
 ]
 
 
@@ -251,3 +254,11 @@
     assert (read.based_on, read.body[0]) == (None, text.strip("\ufeff")[0])
     again = loader.parse_file(loader.with_based_on(read.body, 12))
     assert (again.body, again.based_on) == (read.body, 12)
+
+
+def test_values_of_unusable_keys_do_not_hide_later_errors():
+    """Guards against a reader that loses its place in the file."""
+    text = "? [a, {b: c}]\n: {d: [e]}\n1: {f: g}\n"
+    text += BELLBIRD + "deployment: again\n"
+    lines = len(text.splitlines())
+    assert list(problems(text)) == [(1, ""), (3, ""), (lines, "deployment")]
