--- a/src/cyclamenridge/wire/token.py
+++ b/src/cyclamenridge/wire/token.py
@@ -4,7 +4,7 @@
 import enum
 import hashlib
 import hmac
-import ipaddress
+import socket
 import struct
 
 import xxhash
@@ -62,7 +62,7 @@
             _FORMAT_VERSION,
             token.type,
             token.service,
-            ipaddress.IPv4Address(token.owner.host).packed,
+            socket.inet_aton(token.owner.host),
             token.owner.port,
             token.incarnation,
             token.ident,
