--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -7,10 +7,12 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 from typing import Any
 
 from cyclamenridge.config import model
+from cyclamenridge.scheduling import options as options_lib
 from cyclamenridge.scheduling import scheduler as scheduler_lib
 from cyclamenridge.scheduling import types
 from cyclamenridge.wire import backend
@@ -18,6 +20,9 @@
 SERVICE = "service"
 ONE_WAY_MS = 0.5
 TICK_MS = 50
+# A refusal while this part of the slots is free is counted as false. A few
+# slots are always free for the round trip between two requests.
+ROOM_PART = 0.2
 LOAD_INTERVAL_MS = 500
 DEMAND_INTERVAL_MS = 1000
 # Schedulers see a clock that does not start at zero, like a real one.
@@ -64,6 +69,9 @@
     """A request and what became of it.
 
     :param work_ms: slot time on a server at full speed
+    :param normal: not part of a flood
+    :param finished: when the server was done; ``ended`` is when the
+        balancer knew
     """
 
     seq: int
@@ -74,8 +82,10 @@
     work_ms: float
     normal: bool = True
     started: float | None = None
+    finished: float | None = None
     ended: float | None = None
     refused: float | None = None
+    refused_with_room: bool = False
     failed: bool = False
 
     @property
@@ -120,6 +130,7 @@
         self.connections = 0
         self.draining = False
         self.draining_known = False
+        self.left = math.inf
         self.running = 0
         self.sent_while_leaving = 0
         self.failures = 0
@@ -172,6 +183,7 @@
                 started, second * 1000
             )
         job.failed = failing
+        job.finished = now
         if now > job.deadline:
             self.late_work_ms += now - started
         if self._queue:
@@ -273,6 +285,18 @@
             lambda error: self.events.after(self.delay(), reply, error),
         )
 
+    def drain(self, server: SimServer) -> None:
+        """Start the drain of a server; no balancer knows yet."""
+        server.draining = True
+        server.left = self.events.now
+
+    def capacity_ms(self, start: float, end: float) -> float:
+        """Return the slot time of the servers that are not leaving."""
+        return sum(
+            server.slots * (min(end, max(start, server.left)) - start)
+            for server in self.servers.values()
+        )
+
     def free_slots(self) -> int:
         """Return the slots that are really free."""
         return sum(
@@ -281,6 +305,11 @@
             if not server.draining
         )
 
+    def refuse(self, job: Job) -> None:
+        """Note that a request was refused, and whether there was room."""
+        job.refused = self.events.now
+        job.refused_with_room = self.free_slots() >= ROOM_PART * self.capacity
+
     def arrive(
         self, arrivals: Iterator[Job], pick: Callable[[Job], SimBalancer]
     ) -> None:
@@ -320,7 +349,7 @@
         name: str,
         cfg: model.Config,
         *,
-        options: scheduler_lib.Options | None = None,
+        options: options_lib.Options | None = None,
         one_kind: str | None = None,
     ) -> None:
         super().__init__(sim, name)
@@ -329,7 +358,7 @@
             cfg,
             me=name,
             rng=random.Random(f"{name}/{sim.rng.random()}"),
-            options=options or scheduler_lib.Options(),
+            options=options,
         )
         self._one_kind = one_kind
         self._jobs: dict[types.RequestKey, Job] = {}
@@ -435,8 +464,7 @@
         self.poll()
 
     def _refused(self, refusal: types.Refusal) -> None:
-        job = self._jobs.pop(refusal.key)
-        job.refused = self.sim.events.now
+        self.sim.refuse(self._jobs.pop(refusal.key))
 
     def _ask_load(self) -> None:
         if not self.alive:
@@ -444,12 +472,15 @@
         for server in self.sim.servers.values():
             self.sim.events.after(
                 2 * self.sim.delay(),
-                self.core.server_load,
-                self.now,
+                self._hear_load,
                 server.name,
                 server.load(),
             )
 
+    def _hear_load(self, server: str, load: backend.Load) -> None:
+        self.core.server_load(self.now, server, load)
+        self.poll()
+
     def _tell_demand(self) -> None:
         if not self.alive:
             return
@@ -529,7 +560,7 @@
         def reply(error: backend.RunError | None) -> None:
             self.in_flight[server] -= 1
             if error is backend.RunError.BUSY:
-                job.refused = self.sim.events.now
+                self.sim.refuse(job)
             else:
                 job.ended = self.sim.events.now
 
