--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 
 binary: $(STAMP)
 	mkdir -p build
+	rm -rf build/lib build/bdist.*
 	$(VENV)/bin/shiv --quiet --compressed --console-script cyclamenridge \
 		--output-file build/cyclamenridge .
 
--- a/src/cyclamenridge/cli/status.py
+++ b/src/cyclamenridge/cli/status.py
@@ -54,7 +54,8 @@
             _fail(command, f"{address}: HTTP {answer.status}")
         return json_lib.loads(body)
     except (OSError, http.client.HTTPException, ValueError) as exc:
-        _fail(command, f"{address}: {exc}")
+        text = getattr(exc, "strerror", None) or exc
+        _fail(command, f"{address}: {text}")
     finally:
         conn.close()
 
