--- a/src/cyclamenridge/adapters/backend_link.py
+++ b/src/cyclamenridge/adapters/backend_link.py
@@ -15,9 +15,9 @@
 
 _HELLO_TIMEOUT_S = 2.0
 _READ_BYTES = 256 * 1024
-# A server that does not read what is sent for this long in bytes is
-# treated as lost, so that its backlog cannot exhaust memory.
-_MAX_BACKLOG_BYTES = 32 * 1024 * 1024
+# The link to a server that leaves this much unread is ended, so that its
+# backlog cannot exhaust memory. It has room for two of the largest frames.
+_MAX_BACKLOG_BYTES = 2 * framing.MAX_FRAME_BYTES
 _HELLO_MSGID = 0
 
 
--- a/src/cyclamenridge/caller/exchange.py
+++ b/src/cyclamenridge/caller/exchange.py
@@ -62,11 +62,6 @@
         """When ``poll`` has to be called at the latest."""
         return min(self._resend_ms, self._deadline_ms + _GRACE_MS)
 
-    @property
-    def cancelled_reply_possible(self) -> bool:
-        """Tell whether the outcome is still open."""
-        return self.outcome is None
-
     def poll(self, now_ms: int) -> list[caller.Call]:
         """Return the parts to send now."""
         if self.outcome is not None:
--- a/src/cyclamenridge/caller/feed.py
+++ b/src/cyclamenridge/caller/feed.py
@@ -16,7 +16,8 @@
 # A keepalive that no balancer can answer is given up after this time, as
 # the flow's server and all balancers that know it are then out of reach.
 _KEEPALIVE_TIMEOUT_MS = 15_000
-_RETRY_MS = 300
+_FIRST_RETRY_MS = 300
+_MAX_RETRY_MS = 5000
 _GAP_POLL_MS = 500
 
 Reason = outcomes.Reason
@@ -160,10 +161,14 @@
         self._client.endpoint.unlisten(self.feed_id)
         self._items.put_nowait(outcomes.FeedBroken(reason))
         self._order = order_lib.Order()
+        pause_ms = _FIRST_RETRY_MS
         while True:
             try:
                 await self._subscribe()
                 return
             except errors.CallerError as exc:
                 logging.debug("subscribe again: %s", exc)
-                await asyncio.sleep(_RETRY_MS / 1000)
+                await asyncio.sleep(
+                    pause_ms * self._client.rng.uniform(0.5, 1) / 1000
+                )
+                pause_ms = min(pause_ms * 2, _MAX_RETRY_MS)
--- a/src/cyclamenridge/caller/session.py
+++ b/src/cyclamenridge/caller/session.py
@@ -15,6 +15,12 @@
 Reason = outcomes.Reason
 
 OPEN_TIMEOUT_MS = 10_000
+# A balancer ends a session after 120 s without use, and a request that is
+# sent then is answered ``unknown``.
+UNUSED_MS = 60_000
+# A balancer keeps 256 numbers of a session, counted from the oldest request
+# in progress, and ignores requests above that.
+MAX_SPAN = 200
 # After these reasons the session itself is of no more use.
 _SESSION_LOST = frozenset(
     {Reason.LEAVING, Reason.OWNER_LOST, Reason.WINDOW_PASSED}
@@ -34,13 +40,16 @@
         self.customer = customer
         self._client = client
         self._token: bytes | None = None
+        self._used_ms = 0
         self._next_seq = 0
+        self._in_progress: set[int] = set()
         self._lock = asyncio.Lock()
         self.last_token = b""
 
     async def token(self) -> bytes:
         """Return the token, after opening the session if need be."""
         async with self._lock:
+            self._retire()
             while self._token is None:
                 open_ = caller.Open(
                     self.service, self.customer, self._client.nonce()
@@ -60,8 +69,19 @@
                     continue
                 self._token = grant.token
                 self._next_seq = 0
+                self._in_progress = set()
+            self._used_ms = self._client.clock.now_ms()
             return self._token
 
+    def _retire(self) -> None:
+        """Stop to use a session whose next request might be ignored."""
+        unused_ms = self._client.clock.now_ms() - self._used_ms
+        first = min(self._in_progress, default=self._next_seq)
+        if (
+            unused_ms > UNUSED_MS and not self._in_progress
+        ) or self._next_seq - first >= MAX_SPAN:
+            self._token = None
+
     def lost(self, token: bytes) -> None:
         """Open a new session before the next request."""
         if self._token == token:
@@ -117,6 +137,8 @@
         client = self._client
         self._next_seq += 1
         seq = self._next_seq
+        in_progress = self._in_progress
+        in_progress.add(seq)
         self.last_token = token
         exchange = exchange_lib.Exchange(
             client.clock.now_ms(),
@@ -159,6 +181,7 @@
             client.endpoint.request(msgid, "cancel", cancel)
             raise
         finally:
+            in_progress.discard(seq)
             client.endpoint.release(msgid)
 
     async def subscribe(
--- a/src/cyclamenridge/cli/balancer.py
+++ b/src/cyclamenridge/cli/balancer.py
@@ -11,8 +11,8 @@
 from cyclamenridge.config import settings as settings_lib
 import cyclamenridge.errors as errors
 
-EXIT_USAGE = 2
-EXIT_SETTINGS = 3
+# 3 and 4 are the codes of a planned stop that was cut short.
+EXIT_SETTINGS = 2
 
 
 def balancer(
@@ -27,10 +27,7 @@
     try:
         application = compose.build(settings_lib.load(settings))
         code = asyncio.run(application.run())
-    except errors.ConfigError as exc:
+    except (errors.ConfigError, OSError) as exc:
         typer.echo(f"cyclamenridge balancer: {exc}", err=True)
         raise typer.Exit(EXIT_SETTINGS) from exc
-    except OSError as exc:
-        typer.echo(f"cyclamenridge balancer: {exc}", err=True)
-        raise typer.Exit(EXIT_USAGE) from exc
     raise typer.Exit(code)
--- a/tests/caller/test_session.py
+++ b/tests/caller/test_session.py
@@ -10,6 +10,7 @@
 from cyclamenridge.caller import feed as feed_lib
 from cyclamenridge.caller import outcomes
 from cyclamenridge.caller import session as session_lib
+import cyclamenridge.clock as clock_lib
 from cyclamenridge.wire import caller
 from cyclamenridge.wire import rpc
 from tests.standins import waiting
@@ -36,6 +37,7 @@
         self.cancelled = []
         self.keepalives = []
         self.parts = {}
+        self.hold = None
         self.caller = None
 
     def connection_made(self, transport):
@@ -64,6 +66,8 @@
         call = msgspec.msgpack.decode(message.params, type=caller.Call)
         parts = self.parts.setdefault((call.token, call.seq), {})
         parts[call.part] = call.payload
+        if call.seq == self.hold and call.payload == b"slow":
+            return
         reply = {"seq": call.seq, "check": call.check}
         if len(parts) < call.parts:
             gap = min(set(range(call.parts)) - parts.keys())
@@ -234,3 +238,46 @@
             assert await session.call("e", b"x") == outcomes.Answered(b"x")
 
     asyncio.run(run())
+
+
+def test_unused_session_is_replaced_before_its_owner_forgets_it():
+    """A request in a forgotten session would be answered unknown."""
+
+    async def run():
+        balancer = Balancer()
+        async with connected(balancer) as session:
+            clock = clock_lib.ManualClock(session._client.clock.now_ms())
+            session._client.clock = clock
+            await session.call("e", b"x")
+            clock.advance(session_lib.UNUSED_MS)
+            await session.call("e", b"x")
+            assert balancer.sessions == 1
+            clock.advance(session_lib.UNUSED_MS + 1)
+            await session.call("e", b"x")
+            assert balancer.sessions == 2
+
+    asyncio.run(run())
+
+
+def test_long_request_does_not_block_the_numbers_after_it():
+    """Numbers too far above a request in progress would be ignored."""
+
+    async def run():
+        balancer = Balancer()
+        async with connected(balancer) as session:
+            await session.token()
+            balancer.hold = 1
+            slow = asyncio.create_task(session.call("e", b"slow"))
+            await asyncio.sleep(0)
+            for _ in range(session_lib.MAX_SPAN + 5):
+                await session.call("e", b"x")
+            slow.cancel()
+            await asyncio.gather(slow, return_exceptions=True)
+        assert balancer.sessions == 2
+        numbers = {token: seq for token, seq in balancer.ran}
+        assert numbers == {
+            b"session 1": session_lib.MAX_SPAN + 1,
+            b"session 2": 5,
+        }
+
+    asyncio.run(run())
