Apply a change while a balancer is paused, open sessions elsewhere

The scenario with a paused balancer now also checks that a revision is in force on the others within 3 s, and on the paused one within 3 s after it goes on. The caller library asks another balancer for a session when one has just started and has no configuration yet.

--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import time
+from typing import Any
 import urllib.error
 import urllib.request
 
@@ -177,7 +178,7 @@
             "stop_deadline_ms": self.stop_ms,
         }
 
-    def config(self) -> dict[str, object]:
+    def config(self) -> dict[str, Any]:
         """Return the configuration of the deployment."""
         services: dict[str, dict] = {}
         for server in self.servers:
@@ -224,12 +225,22 @@
             "customers": {name: {"share": 1} for name in CUSTOMERS},
         }
 
-    def apply(self) -> str:
-        """Apply the configuration through the command line."""
+    def apply(self, *, base: int = 0, queue_limit: int = 1000) -> str:
+        """Apply the configuration through the command line.
+
+        :param base: the revision that the file is based on
+        """
+        cfg = self.config()
+        for service in cfg["services"].values():
+            service["queue_limit"] = queue_limit
         path = self.directory / "config.yaml"
-        path.write_text(yaml.safe_dump(self.config(), sort_keys=False))
+        path.write_text(yaml.safe_dump(cfg, sort_keys=False))
         return self.command(
-            "config", "apply", str(path), "--store", self.store_url
+            "config",
+            "apply",
+            str(path),
+            f"--store={self.store_url}",
+            f"--base={base}",
         )
 
     def command(self, *arguments: str) -> str:
--- a/src/cyclamenridge/caller/session.py
+++ b/src/cyclamenridge/caller/session.py
@@ -15,6 +15,9 @@
 Reason = outcomes.Reason
 
 OPEN_TIMEOUT_MS = 10_000
+MAX_OPENS = 8
+_OPEN_PAUSE_S = 0.05
+_ELSEWHERE = frozenset({Reason.LEAVING, Reason.NO_SERVER})
 # A balancer ends a session after 120 s without use, and a request that is
 # sent then is answered ``unknown``.
 UNUSED_MS = 60_000
@@ -50,7 +53,9 @@
         """Return the token, after opening the session if need be."""
         async with self._lock:
             self._retire()
+            tries = 0
             while self._token is None:
+                tries += 1
                 open_ = caller.Open(
                     self.service, self.customer, self._client.nonce()
                 )
@@ -62,10 +67,12 @@
                         timeout_ms=OPEN_TIMEOUT_MS,
                     )
                 except client_lib.RefusedError as exc:
-                    # Another balancer will grant it.
-                    if exc.refusal.reason is not Reason.LEAVING:
+                    # Another balancer may grant it: this one stops, or has
+                    # just started and has no configuration yet.
+                    reason = exc.refusal.reason
+                    if tries > MAX_OPENS or reason not in _ELSEWHERE:
                         raise
-                    await asyncio.sleep(0.05)
+                    await asyncio.sleep(_OPEN_PAUSE_S)
                     continue
                 self._token = grant.token
                 self._next_seq = 0
--- a/tests/caller/test_session.py
+++ b/tests/caller/test_session.py
@@ -32,6 +32,8 @@
         self.silent = silent
         self.grants = list(grants)
         self.sessions = 0
+        self.opens = 0
+        self.refuse_opens = 0
         self.ran = []
         self.acks = []
         self.cancelled = []
@@ -59,6 +61,11 @@
         self.send(rpc.response(message.msgid, result))
 
     def open(self, message):
+        self.opens += 1
+        if self.opens <= self.refuse_opens:
+            refusal = caller.Refusal(Reason.NO_SERVER, 500)
+            self.send(rpc.error_response(message.msgid, refusal))
+            return
         self.sessions += 1
         self.respond(message, caller.Grant(b"session %d" % self.sessions))
 
@@ -281,3 +288,20 @@
         }
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("refusals", [3, 99])
+def test_balancer_that_has_just_started_is_not_the_last_word(refusals):
+    """One balancer without a configuration must not fail a request."""
+
+    async def run():
+        balancer = Balancer()
+        balancer.refuse_opens = refusals
+        async with connected(balancer) as session:
+            got = await session.call("e", b"x")
+        if refusals < session_lib.MAX_OPENS:
+            assert got == outcomes.Answered(b"x")
+        else:
+            assert got == outcomes.NotRun(Reason.NO_SERVER, 500)
+
+    asyncio.run(run())
--- a/tests/features/steps/whole_path.py
+++ b/tests/features/steps/whole_path.py
@@ -57,19 +57,47 @@
     context.live.faults.append(account.Fault(str(killed.peer), now_ms, now_ms))
 
 
-@behave.when("balancer {number:d} is paused from {begin:g} s to {end:g} s")
-def pause_balancer(context, number, begin, end):
-    pause(begin)
+@behave.when("balancer {number:d} is paused after {seconds:g} s")
+def pause_balancer(context, number, seconds):
+    pause(seconds)
     paused = context.dep.balancers[number - 1]
-    from_ms = CLOCK.now_ms()
+    context.paused_ms = CLOCK.now_ms()
     context.dep.signal(paused.name, signal.SIGSTOP)
-    time.sleep(end - begin)
+
+
+@behave.when("balancer {number:d} goes on {seconds:g} s after its pause")
+def resume_balancer(context, number, seconds):
+    paused = context.dep.balancers[number - 1]
+    time.sleep(
+        max(0, context.paused_ms / 1000 + seconds - CLOCK.now_ms() / 1000)
+    )
     context.dep.signal(paused.name, signal.SIGCONT)
     context.live.faults.append(
-        account.Fault(str(paused.peer), from_ms, CLOCK.now_ms())
+        account.Fault(str(paused.peer), context.paused_ms, CLOCK.now_ms())
     )
 
 
+@behave.when("a changed configuration is applied")
+def apply_change(context):
+    context.dep.apply(base=1, queue_limit=500)
+
+
+@behave.then(
+    "revision {revision:d} is in force on balancers {numbers} "
+    "within {seconds:g} s"
+)
+def check_revision(context, revision, numbers, seconds):
+    deadline_ms = CLOCK.now_ms() + seconds * 1000
+    waiting = {int(number) for number in numbers.split(",")}
+    while waiting:
+        for number in sorted(waiting):
+            status = context.dep.status(context.dep.balancers[number - 1])
+            if status is not None and status["revision"] == revision:
+                waiting.discard(number)
+        assert not waiting or CLOCK.now_ms() < deadline_ms, waiting
+        time.sleep(0.02)
+
+
 @behave.then("the account is right")
 def check_account(context):
     if not hasattr(context, "account"):
--- a/tests/features/whole_path.feature
+++ b/tests/features/whole_path.feature
@@ -14,10 +14,14 @@
     When balancer 2 is killed after 1 s
     Then the account is right
 
-  Scenario: A paused balancer has no late effect
+  Scenario: A paused balancer has no late effect and catches up
     Given a deployment with callers at work for 6 s
-    When balancer 3 is paused from 0.5 s to 4.5 s
-    Then the account is right
+    When balancer 3 is paused after 0.5 s
+    And a changed configuration is applied
+    Then revision 2 is in force on balancers 1, 2, 4 within 3 s
+    When balancer 3 goes on 4 s after its pause
+    Then revision 2 is in force on balancers 1, 2, 3, 4 within 3 s
+    And the account is right
     And balancer 3 serves again
 
   Scenario: Malformed datagrams are counted and stop nothing
