Hide keys that are written as a mapping in settings errors

Cause: `keys: {KEY: 1, KEY: 2}` showed the key in the path of the error.

Change: findings below `keys` name only `keys` unless the rest of the path is an index.

Result: the new case of tests/config/test_settings.py failed before and passes now.

--- a/src/cyclamenridge/config/settings.py
+++ b/src/cyclamenridge/config/settings.py
@@ -235,8 +235,12 @@
 
 def _without_secrets(finding: findings_lib.Finding) -> findings_lib.Finding:
     """Hide the value of a key, which may be printed and logged."""
-    if finding.key.split(".")[0] != "keys":
+    first, _, rest = finding.key.partition(".")
+    if first != "keys":
         return finding
+    if rest and not rest.isdigit():
+        # A key that was written as a mapping is part of the path.
+        return dataclasses.replace(finding, key=first, found=_HIDDEN)
     if finding.found in _OPEN or finding.found.endswith(" characters"):
         return finding
     return dataclasses.replace(finding, found=_HIDDEN)
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -91,6 +91,7 @@
         "secret-0",
         "[[secret-0]]",
         "{secret-0: 1}",
+        "{secret-0: 1, secret-0: 2}",
         '["secret-0\\n"]',
         "[secret-0, secret-0]",
     ],
