Test retries, deadlines and frozen reports directly

Cause: five guards could be removed without a failing test. Change: focused tests for the retry budget, the retry deadline, expiry in the queue, the pause after a failed request and reports of full servers. A bound on requests in flight per server that the choice of servers already implies is gone.

--- a/src/cyclamenridge/scheduling/attempts.py
+++ b/src/cyclamenridge/scheduling/attempts.py
@@ -145,7 +145,6 @@
             for server in usable
             if now_ms >= server.busy_until_ms
             and now_ms >= server.next_start_ms
-            and server.in_flight < server.slots
         ]
 
     def started(self, running: Running) -> None:
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -147,9 +147,90 @@
         open_keys.remove(key)
     core.running.clear()
     core.now += 1000
-    for refusal in core.poll().refusals:
+    result = core.poll()
+    assert not result.assignments
+    for refusal in result.refusals:
         close(refusal)
-    assert not open_keys - set(core.running)
+    assert not open_keys
+
+
+def test_request_is_not_started_after_its_deadline(alone):
+    """Guards against slots spent on answers that nobody waits for."""
+    for _ in range(6):
+        alone.submit()
+    alone.poll()
+    assert alone.submit(left=300) is None
+    alone.now += 299
+    (refusal,) = alone.poll().refusals
+    assert refusal.key.seq == 7
+    alone.now += 1
+    late = [item for item, _ in alone.running.values()]
+    for item in late:
+        alone.done(item.request.key)
+    assert not alone.poll().assignments
+    expired = types.QueuedRequest(
+        types.RequestKey(1, 7), "edit", "a", True, 0, alone.now, b""
+    )
+    refusal = alone.core.resubmit(alone.now, expired, exclude="s0")
+    assert refusal.reason is Reason.EXPIRED
+
+
+def test_retries_stay_within_the_budget(alone):
+    """Guards against a storm of retries when servers are lost."""
+    for _ in range(10):
+        alone.submit()
+    lost = [
+        types.QueuedRequest(
+            types.RequestKey(2, seq),
+            "edit",
+            "a",
+            True,
+            alone.now,
+            alone.now + 5000,
+            b"",
+        )
+        for seq in range(300)
+    ]
+    taken = sum(
+        alone.core.resubmit(alone.now, request, exclude="s0") is None
+        for request in lost
+    )
+    assert 0 < taken <= retry.MAX_TOKENS + 0.1 * alone.seq
+
+
+def test_busy_everywhere_keeps_requests_waiting():
+    """Guards against hammered servers, and against requests refused for
+    lack of retries while they could wait for their own slot.
+    """
+    alone = bench.Bench(bench.make_config(retry_percent=1))
+    attempts = 0
+    for _ in range(2000):
+        alone.submit()
+        for item in alone.poll().assignments:
+            attempts += 1
+            alone.not_run(item.request.key)
+        alone.now += 1
+    # The budget, and one attempt each 200 ms without a token.
+    assert attempts <= retry.MAX_TOKENS + 0.01 * alone.seq + 2 + 10
+    assert alone.core.counters["retry_budget_empty"] <= 10
+
+
+def test_report_of_a_full_server_does_not_stop_it(alone):
+    """Guards against frozen reports that keep a server idle for ever."""
+    for _ in range(60):
+        for name in ("s0", "s1", "s2"):
+            alone.core.server_load(alone.now, name, backend.Load(2, 0, 0))
+        alone.now += 100
+    alone.submit()
+    alone.poll()
+    for _ in range(3):
+        if alone.running:
+            break
+        for name in ("s0", "s1", "s2"):
+            alone.core.server_load(alone.now, name, backend.Load(2, 0, 0))
+        alone.now += 50
+        alone.poll()
+    assert alone.running
 
 
 def test_precedence_orders_the_queue_and_floors_keep_lower_kinds(alone):
@@ -243,6 +324,24 @@
     assert failed <= 20
 
 
+def test_server_that_fails_fast_but_stays_gets_no_extra_work():
+    """Guards against broken servers that draw work once a third is out."""
+    core = bench.Bench(bench.make_config(servers=2))
+    ended = collections.Counter()
+    for _ in range(3000):
+        core.submit()
+        core.poll()
+        core.now += 1
+        for key, (item, sent) in list(core.running.items()):
+            if item.server == "s0" or core.now - sent >= 10:
+                failed = item.server == "s0"
+                core.done(
+                    key, Completion.FAILED if failed else Completion.ANSWERED
+                )
+                ended[item.server] += 1
+    assert ended["s0"] <= ended["s1"]
+
+
 @pytest.mark.parametrize("count", [2, 3, 7])
 def test_at_most_a_third_of_the_servers_is_ejected(count):
     """Guards against a fleet that ejects itself."""
