--- a/tests/control/test_codec.py
+++ b/tests/control/test_codec.py
@@ -13,6 +13,7 @@
 from cyclamenridge.control import types
 import cyclamenridge.errors as errors
 from cyclamenridge.routing import homes
+from cyclamenridge.routing import pinned
 from cyclamenridge.scheduling import types as scheduling
 
 ADDRESS = address_lib.Address("10.1.2.3", 7001)
@@ -38,6 +39,10 @@
             scheduling.ServiceDemand("intake", ()),
         )
     ),
+    messages.Shares((messages.Share(2**32 - 1, ((7, 1.5),), ("srv-1",)),)),
+    messages.NamesWanted(),
+    messages.Pinned("album", next(iter(pinned.build("srv-1", [b"flow-1"])))),
+    messages.Pinned("album", pinned.completion(("srv-1",))),
 ]
 OLD, NEW = b"o" * 32, b"n" * 32
 
--- a/tests/node/callers.py
+++ b/tests/node/callers.py
@@ -76,6 +76,7 @@
         self.feeds = []
         self.sessions = []
         self.nodes = None
+        self.keepalive_ms = KEEPALIVE_MS
         self._msgid = index << 20
         fleet.callers[str(self.address)] = self
         fleet.at(RESEND_MS, self._tick)
@@ -165,6 +166,10 @@
         params = caller.Keepalive(feed.token, feed.last_seq)
         self.ask("keepalive", params, feed, node)
 
+    def packet(self, service, node=None):
+        params = caller.Datagram(service, service.encode() + b":packet")
+        self.send(rpc.notification("datagram", params), node)
+
     def _tick(self):
         self.fleet.at(RESEND_MS, self._tick)
         now_ms = self.fleet.now_ms
@@ -188,7 +193,7 @@
         self.requests = [r for r in self.requests if not r.done]
         self.feeds = [f for f in self.feeds if not f.lost and not f.refused]
         for feed in self.feeds:
-            if feed.token and now_ms - feed.asked_ms >= KEEPALIVE_MS:
+            if feed.token and now_ms - feed.asked_ms >= self.keepalive_ms:
                 self.keepalive(feed)
 
     # Receiving
@@ -274,7 +279,11 @@
         )
 
     def _event(self, message):
-        if message.method != "event":
+        if message.method == "datagram":
+            packet = msgspec.msgpack.decode(
+                message.params, type=caller.Datagram
+            )
+            self.oracle.packet(packet.service, packet.payload)
             return
         event = msgspec.msgpack.decode(message.params, type=caller.Event)
         for feed in self.feeds:
--- a/tests/node/chaos.py
+++ b/tests/node/chaos.py
@@ -1,5 +1,7 @@
 """Random faults for long runs; the state machine uses the same steps."""
 
+import random
+
 from cyclamenridge.node import events
 from tests.node import world as world_lib
 
@@ -15,13 +17,14 @@
     """Steps on a world; each leaves at least one node alive."""
 
     def __init__(self, seed, *, nodes=4):
+        network = random.Random(seed)
         self.world = world_lib.World(
             seed,
             nodes=nodes,
             callers_count=3,
-            loss=0.03,
-            copies=0.05,
-            slow=0.03,
+            loss=network.choice((0.0, 0.03, 0.15)),
+            copies=network.choice((0.0, 0.05, 0.3)),
+            slow=network.choice((0.0, 0.03, 0.2)),
         )
         self.fleet = self.world.fleet
         self.oracle = self.world.oracle
@@ -73,6 +76,10 @@
             kind = "door" if session.service == "counter" else "proof"
             caller.subscribe(session, kind)
 
+    def packet(self):
+        caller = self.rng.choice(self.world.callers)
+        caller.packet(self.rng.choice(("counter", "album")))
+
     # Faults
 
     def live(self):
@@ -179,6 +186,11 @@
                 self.fleet.resume_node(name)
         if self.cut_ms and self.fleet.now_ms >= self.cut_ms:
             self.heal()
+        for ref, server in self.fleet.servers.items():
+            if server.model is not None:
+                for packet in server.model.datagrams:
+                    self.oracle.packet(ref.service, packet.payload)
+                server.model.datagrams.clear()
         self.oracle.verify()
 
     STEPS = (
@@ -186,6 +198,7 @@
         ("reuse_seq", 2),
         ("cancel", 3),
         ("subscribe", 4),
+        ("packet", 4),
         ("kill_node", 0.4),
         ("stop_node", 0.5),
         ("start_node", 2),
