--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -195,6 +195,7 @@
             for update in updates:
                 if update.balancer.name != node.name:
                     node.plane._peering.table.add(self.now_ms, update)
+            node.plane._peering._pages._fast = False
 
     def preload(self, doc: Document) -> None:
         """Put a document in force on every node without a transfer."""
--- a/src/cyclamenridge/control/budget.py
+++ b/src/cyclamenridge/control/budget.py
@@ -49,14 +49,17 @@
     tokens: float
     filled_ms: int = 0
 
-    def take(self, now_ms: int, cost: int) -> bool:
+    def available(self, now_ms: int) -> float:
         elapsed_ms = max(0, now_ms - self.filled_ms)
         self.filled_ms = now_ms
         self.tokens = min(
             self.burst_bytes,
             self.tokens + elapsed_ms * self.bytes_per_s / 1000,
         )
-        if self.tokens < cost:
+        return self.tokens
+
+    def take(self, now_ms: int, cost: int) -> bool:
+        if self.available(now_ms) < cost:
             return False
         self.tokens -= cost
         return True
@@ -89,6 +92,15 @@
         self._advance(now_ms)
         return self._used
 
+    def has_room(self, now_ms: int, priority: Priority, size: int) -> bool:
+        """Return whether a datagram of this size could be sent now."""
+        self._advance(now_ms)
+        cost = size + DATAGRAM_OVERHEAD_BYTES
+        rate = self._rates.get(priority)
+        return self._used + cost <= CEILING_BYTES[priority] and (
+            rate is None or rate.available(now_ms) >= cost
+        )
+
     def take(self, now_ms: int, priority: Priority, size: int) -> bool:
         """Account for a datagram, or return False if it must not be sent.
 
--- a/src/cyclamenridge/control/outbox.py
+++ b/src/cyclamenridge/control/outbox.py
@@ -9,6 +9,10 @@
 from cyclamenridge.control import messages
 from cyclamenridge.node import effects
 
+# No message of this protocol is shorter; saves encoding one that will be
+# dropped.
+_SHORTEST_BYTES = 50
+
 
 @dataclasses.dataclass(slots=True)
 class Header:
@@ -42,6 +46,10 @@
         """Return the bytes sent within the window of the budget."""
         return self._budget.used(now_ms)
 
+    def has_room(self, now_ms: int, priority: budget.Priority) -> bool:
+        """Return whether the shortest message could be sent now."""
+        return self._budget.has_room(now_ms, priority, _SHORTEST_BYTES)
+
     def take(self) -> tuple[effects.Effect, ...]:
         """Return the effects since the last call."""
         taken = tuple(self._effects)
--- a/src/cyclamenridge/control/peering.py
+++ b/src/cyclamenridge/control/peering.py
@@ -24,9 +24,6 @@
 WARNINGS_PER_SUSPECT = 6
 # Without ticks for this long the node was paused or starved.
 STALL_MS = 400
-# A fresh node does not suspect anybody yet: while a fleet starts at once,
-# the seeds cannot answer everybody.
-WARM_UP_MS = 3000
 # Above this use of the budget acks carry no updates.
 PIGGYBACK_LIMIT_BYTES = 25_000
 
@@ -57,13 +54,12 @@
         self.domain: set[str] = {me.name}
         self.domain_changed = True
         self._last_ms = 0
-        self._start_ms = 0
         self._changed = False
         self._members: tuple[types.Member, ...] | None = None
 
     def start(self, now_ms: int) -> None:
         """Begin to look for peers."""
-        self._last_ms = self._start_ms = now_ms
+        self._last_ms = now_ms
         self._pages.start(now_ms)
         self._prober.start(now_ms)
         self._spreader.later(self._self_update())
@@ -224,8 +220,7 @@
                 ):
                     self._out.send(now_ms, entry.address, req, Priority.PROBE)
             case probing.Unanswered():
-                if now_ms - self._start_ms >= WARM_UP_MS:
-                    self._suspect(now_ms, step.name)
+                self._suspect(now_ms, step.name)
 
     def _suspect(self, now_ms: int, name: str) -> None:
         update = self.table.suspect(now_ms, name)
--- a/src/cyclamenridge/control/plane.py
+++ b/src/cyclamenridge/control/plane.py
@@ -260,6 +260,8 @@
             )
 
     def _send_demands(self, now_ms: int) -> None:
+        if not self._out.has_room(now_ms, Priority.DEMAND):
+            return
         for name in self._demand.due(now_ms):
             entry = self._peering.table.entries.get(name)
             if entry is not None and entry.state is not types.MemberState.DEAD:
