--- a/src/cyclamenridge/control/plane.py
+++ b/src/cyclamenridge/control/plane.py
@@ -29,6 +29,8 @@
 # Members that are told of a new revision at once.
 ANNOUNCE_MEMBERS = 4
 
+_NOTHING = types.Output()
+
 
 class ControlPlane:
     """Membership, replication and demand exchange of one balancer.
@@ -168,8 +170,17 @@
         return self._output()
 
     def _output(self, *, members_changed: bool = False) -> types.Output:
+        sent = self._out.take()
+        if not (
+            sent
+            or members_changed
+            or self._adopted
+            or self._demands
+            or self._filters
+        ):
+            return _NOTHING
         out = types.Output(
-            effects=self._out.take(),
+            effects=sent,
             adopted=self._adopted,
             demands=tuple(self._demands),
             filters=tuple(self._filters),
@@ -260,9 +271,10 @@
             )
 
     def _send_demands(self, now_ms: int) -> None:
-        if not self._out.has_room(now_ms, Priority.DEMAND):
+        due = self._demand.due(now_ms)
+        if not due or not self._out.has_room(now_ms, Priority.DEMAND):
             return
-        for name in self._demand.due(now_ms):
+        for name in due:
             entry = self._peering.table.entries.get(name)
             if entry is not None and entry.state is not types.MemberState.DEAD:
                 bodies = self._demand.bodies(name)
