--- a/tests/standins/server_model.py
+++ b/tests/standins/server_model.py
@@ -13,10 +13,10 @@
 
 from cyclamenridge.wire import backend
 from cyclamenridge.wire import rpc
+from tests.standins import server_flows
 
 ANSWER_ECHO_BYTES = 4096
 RECORDED_PAYLOAD_BYTES = 96
-MAX_BUFFERED_EVENTS = 1024
 
 
 class LoadMode(enum.StrEnum):
@@ -92,21 +92,6 @@
     outcome: RunOutcome = RunOutcome.RUNNING
 
 
-@dataclasses.dataclass
-class Flow:
-    """A flow that the server holds."""
-
-    flow_id: int
-    epoch: int
-    balancer: str
-    kind: str
-    customer: str
-    conn: int | None
-    next_seq: int
-    next_event_ms: int
-    events: collections.deque[backend.Event]
-
-
 @dataclasses.dataclass
 class _Job:
     conn: int
@@ -142,8 +127,7 @@
         self.records: list[RunRecord] = []
         self.refusals: collections.Counter[str] = collections.Counter()
         self.datagrams: list[backend.Datagram] = []
-        self.flows: dict[int, Flow] = {}
-        self.detached: list[int] = []
+        self._flows = server_flows.FlowTable(f"{service}/{server}")
         self._rng = rng
         self._started_ms = started_ms
         self._conns: dict[int, str | None] = {}
@@ -158,6 +142,16 @@
         )
         self._frozen: backend.Load | None = None
 
+    @property
+    def flows(self) -> dict[int, server_flows.Flow]:
+        """Flows that the server holds."""
+        return self._flows.flows
+
+    @property
+    def detached(self) -> list[int]:
+        """Flows that were ended by a balancer."""
+        return self._flows.detached
+
     @property
     def identity(self) -> backend.Identity:
         """What the server answers to ``hello``."""
@@ -250,17 +244,10 @@
         self, flow_id: int, payload: bytes | None = None
     ) -> list[Outgoing]:
         """Produce an event of a flow; it is kept until acknowledged."""
-        flow = self.flows[flow_id]
-        if payload is None:
-            payload = (
-                f"{self.service}/{self.server}/{flow.flow_id}/{flow.next_seq}"
-            ).encode()
-        event = backend.Event(flow.flow_id, flow.next_seq, payload)
-        flow.next_seq += 1
-        flow.events.append(event)
-        if flow.conn is None:
+        conn, event = self._flows.emit(flow_id, payload)
+        if conn is None:
             return []
-        return [Outgoing(flow.conn, rpc.notification("event", event))]
+        return [Outgoing(conn, rpc.notification("event", event))]
 
     def message(
         self, now_ms: int, conn: int, message: rpc.Message
@@ -429,47 +416,20 @@
         self, now_ms: int, conn: int, message: rpc.Request
     ) -> list[Outgoing]:
         attach = _params(message, backend.Attach)
-        balancer = self._conns[conn] or ""
-        flow = self.flows.get(attach.flow_id)
-        error = None
-        if flow is None:
-            if not attach.create:
-                error = backend.AttachError.UNKNOWN_FLOW
-            elif self.draining:
-                error = backend.AttachError.DRAINING
-            elif len(self.flows) >= self.profile.connections:
-                error = backend.AttachError.FULL
-        elif attach.epoch < flow.epoch or (
-            attach.epoch == flow.epoch and balancer != flow.balancer
-        ):
-            error = backend.AttachError.STALE_EPOCH
+        error = self._flows.attach(
+            attach,
+            conn=conn,
+            balancer=self._conns[conn] or "",
+            first_event_ms=now_ms + self.profile.event_interval_ms,
+            limit=self.profile.connections,
+            draining=self.draining,
+        )
         if error is not None:
-            self.refusals[error] += 1
-            return [_error(conn, message.msgid, error)]
-        if flow is None:
-            flow = self.flows[attach.flow_id] = Flow(
-                flow_id=attach.flow_id,
-                epoch=attach.epoch,
-                balancer=balancer,
-                kind=attach.kind,
-                customer=attach.customer,
-                conn=conn,
-                next_seq=attach.last_seq + 1,
-                next_event_ms=now_ms + self.profile.event_interval_ms,
-                events=collections.deque(maxlen=MAX_BUFFERED_EVENTS),
-            )
-        flow.epoch = attach.epoch
-        flow.balancer = balancer
-        flow.conn = conn
-        while flow.events and flow.events[0].seq <= attach.last_seq:
-            flow.events.popleft()
+            return [self._refuse_flow(conn, message, error)]
+        flow = self.flows[attach.flow_id]
         first = flow.events[0].seq if flow.events else flow.next_seq
-        out = [
-            Outgoing(
-                conn, rpc.response(message.msgid, backend.Attached(first))
-            )
-        ]
-        return out + [
+        answer = rpc.response(message.msgid, backend.Attached(first))
+        return [Outgoing(conn, answer)] + [
             Outgoing(conn, rpc.notification("event", event))
             for event in flow.events
         ]
@@ -477,19 +437,17 @@
     def _detach(
         self, now_ms: int, conn: int, message: rpc.Request
     ) -> list[Outgoing]:
-        detach = _params(message, backend.Detach)
-        flow = self.flows.get(detach.flow_id)
-        if flow is None:
-            error = backend.AttachError.UNKNOWN_FLOW
-        elif detach.epoch < flow.epoch:
-            error = backend.AttachError.STALE_EPOCH
-        else:
-            del self.flows[detach.flow_id]
-            self.detached.append(detach.flow_id)
-            empty = backend.Empty()
-            return [Outgoing(conn, rpc.response(message.msgid, empty))]
+        error = self._flows.detach(_params(message, backend.Detach))
+        if error is not None:
+            return [self._refuse_flow(conn, message, error)]
+        empty = backend.Empty()
+        return [Outgoing(conn, rpc.response(message.msgid, empty))]
+
+    def _refuse_flow(
+        self, conn: int, message: rpc.Request, error: backend.AttachError
+    ) -> Outgoing:
         self.refusals[error] += 1
-        return [_error(conn, message.msgid, error)]
+        return _error(conn, message.msgid, error)
 
 
 def answer(service: str, server: str, payload: bytes) -> bytes:
