Keep a flooded balancer to its own slots

Cause: in the first second of a flood, and in a partition, the demands of the other members are old and still leave spare slots. Change: a balancer that refused work within the last second does not try slots of others. The guard was removed once and its test failed.

--- a/src/cyclamenridge/scheduling/attempts.py
+++ b/src/cyclamenridge/scheduling/attempts.py
@@ -17,6 +17,9 @@
 ACCEPTED_AFTER_MS = 20
 # An idle balancer without retry budget tries a server this often.
 LONE_TRY_INTERVAL_MS = 200
+# A balancer that refused work this long ago or less keeps to its own slots:
+# the others are probably flooded too, and their demands are up to 1 s old.
+OVERLOAD_MS = 1000
 MIN_BUSY_HOLD_MS = 2
 MAX_BUSY_HOLD_MS = 100
 
@@ -62,6 +65,7 @@
         self._unsure: collections.deque[Running] = collections.deque()
         self._budget: retry.RetryBudget | None = None
         self._last_start_ms = 0
+        self._overloaded_ms: int | None = None
 
     def __len__(self) -> int:
         return len(self._running)
@@ -78,21 +82,29 @@
         """Whether the balancer uses less than its share."""
         return len(self._running) < self._division.owned_total
 
-    def may_start(self) -> bool:
+    def overloaded(self, now_ms: int) -> None:
+        """Take in that a request was refused for lack of slots."""
+        self._overloaded_ms = now_ms
+
+    def may_start(self, now_ms: int) -> bool:
         """Whether any server could be chosen now."""
         return (
             not self._running
             or self.own_slot_free()
             or not self._options.own_slots_only
-            or self._may_try_foreign()
+            or self._may_try_foreign(now_ms)
         )
 
-    def _may_try_foreign(self) -> bool:
+    def _may_try_foreign(self, now_ms: int) -> bool:
         # Without spare slots, each free one is about to be used by its
         # owner; to take it would let low kinds here delay high ones there.
-        return self._options.foreign_slots and (
-            not self._division.owned_total
-            or self._division.allocation.spare > 0
+        if not self._options.foreign_slots:
+            return False
+        if not self._division.owned_total:
+            return True
+        return self._division.allocation.spare > 0 and (
+            self._overloaded_ms is None
+            or now_ms - self._overloaded_ms > OVERLOAD_MS
         )
 
     def choose(
@@ -120,7 +132,7 @@
                     and now_ms - self._last_start_ms >= LONE_TRY_INTERVAL_MS
                 ):
                     return server, False
-        if not self._may_try_foreign():
+        if not self._may_try_foreign(now_ms):
             return None, False
         server = self._picker.foreign(
             now_ms,
--- a/src/cyclamenridge/scheduling/scheduler.py
+++ b/src/cyclamenridge/scheduling/scheduler.py
@@ -183,7 +183,7 @@
             wait_ms = self._expected_wait_ms(request)
             allowed_ms = MAX_WAIT_PART * (request.deadline_ms - now_ms)
             if wait_ms > allowed_ms:
-                self._usage.refused(now_ms, request.kind)
+                self._note_overload(now_ms, request.kind)
                 return self._refuse_overloaded(
                     request.key, wait_ms - allowed_ms
                 )
@@ -192,7 +192,7 @@
         # of one customer leaves room for the others.
         room = self._queue_limit - kind_queue.length
         if kind_queue.customer_length(request.customer) >= room:
-            self._usage.refused(now_ms, request.kind)
+            self._note_overload(now_ms, request.kind)
             return self._refuse_overloaded(
                 request.key, self._expected_wait_ms(request)
             )
@@ -303,7 +303,7 @@
                     )
                 )
         assignments = []
-        while len(self._queue) and self._attempts.may_start():
+        while len(self._queue) and self._attempts.may_start(now_ms):
             assignment = self._assign(now_ms)
             if assignment is None:
                 break
@@ -447,6 +447,10 @@
         work_ms = self._usage.work_ms(request.kind)
         return wait_ms + own.ahead(request.customer) * work_ms / rate
 
+    def _note_overload(self, now_ms: int, kind: str) -> None:
+        self._usage.refused(now_ms, kind)
+        self._attempts.overloaded(now_ms)
+
     def _refuse_overloaded(
         self, key: types.RequestKey, wait_ms: float
     ) -> types.Refusal:
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -414,6 +414,18 @@
     assert len(core.poll().assignments) == 10
 
 
+def test_flooded_member_keeps_to_its_own_slots():
+    """Guards against slots of others taken while their demands are old."""
+    core = bench.Bench(bench.make_config(servers=5), members=MEMBERS, me="me")
+    for peer in MEMBERS[1:]:
+        core.core.peer_demand(core.now, peer, bench.demand())
+    while core.submit("dump") is None:
+        pass
+    own = core.core._division.owned_total
+    assert own < 10
+    assert len(core.poll().assignments) == own
+
+
 def test_unknown_kind_and_lost_service_are_refused(alone):
     """Guards against requests that wait for servers that do not exist."""
     assert alone.submit("none").reason is Reason.BAD_REQUEST
