--- a/tests/control/test_replication.py
+++ b/tests/control/test_replication.py
@@ -5,6 +5,7 @@
 import pytest
 
 from benchmarks import control_fleet
+from cyclamenridge.control import messages
 from cyclamenridge.control import replication
 from cyclamenridge.control import storewatch
 from cyclamenridge.control import transfer
@@ -337,6 +338,21 @@
     assert receiver.document == sender.document
 
 
+def test_long_transfers_take_turns():
+    """Guards against many receivers that share one source and all end
+    late, instead of the first becoming a source for the next.
+    """
+    sender = replication.Replicator(random.Random(1), _counter())
+    sender.adopt(document(2, big_body(2)))
+    one, two = (control_fleet.Fleet(1).address(index) for index in (1, 2))
+    fetch = messages.Fetch(2, 0, 0, 4)
+    assert len(sender.serve(0, one, fetch)) == 4
+    assert len(sender.serve(100, two, fetch)) == 1
+    later = replication.TURN_MS + 1
+    assert len(sender.serve(later, two, fetch)) == 4
+    assert len(sender.serve(later, one, fetch)) == 1
+
+
 def test_compressed_bomb_is_refused():
     """Guards against a few KB that unfold to gigabytes."""
     huge = control_fleet.document(2, "x" * 1_200_000)
