--- a/tests/adapters/test_store_platform.py
+++ b/tests/adapters/test_store_platform.py
@@ -94,6 +94,9 @@
         async with driver() as (stand_in, out, got, counters):
             out.watch(active=True)
             await waiting.until(lambda: revisions(got) == [None])
+            # A watch whose connection is accepted while the outage begins
+            # would live through it.
+            await waiting.until(lambda: stand_in.watches == 2)
             await stand_in.set_outage(True)
             stand_in.put(operator.KEY, document_lib.encode(document(7)))
             await waiting.until(lambda: counters["store_failures"] >= 2)
