Bound the deadline of callers by the kind of work

Cause: deadline_ms of a kind was checked and documented as a default, but nothing used it, so a caller could hold a slot or a planned stop for ten minutes. Change: the owner cuts a longer deadline to that of the kind. Result: a request with a deadline of 60 s at a server that works for 60 s is told unknown after the 5 s of its kind; without the bound the new test fails.

--- a/src/cyclamenridge/config/model.py
+++ b/src/cyclamenridge/config/model.py
@@ -68,6 +68,7 @@
 
     :param floor_percent: part of the service's slots that the kind keeps
         when kinds ranked above it could use all of them
+    :param deadline_ms: upper bound of the deadlines that callers set
     """
 
     service: Name
--- a/src/cyclamenridge/session/admission.py
+++ b/src/cyclamenridge/session/admission.py
@@ -19,6 +19,20 @@
     return kind
 
 
+def time_limit_ms(
+    ctx: context_lib.Context, session: state_lib.Session, params: caller.Call
+) -> int:
+    """Return how long a request may take.
+
+    The limit of its kind bounds what a caller asks for, so that no caller
+    holds a slot or a planned stop for longer than the operators allow.
+    """
+    kind = kind_of(ctx, session, params.kind)
+    if kind is None:
+        return params.deadline_ms
+    return min(params.deadline_ms, kind.deadline_ms)
+
+
 def screen(
     ctx: context_lib.Context,
     memory: memory_lib.Memory,
--- a/src/cyclamenridge/session/owner.py
+++ b/src/cyclamenridge/session/owner.py
@@ -250,7 +250,9 @@
         )
         if record is None:
             return None
-        record.deadline_ms = now_ms + params.deadline_ms
+        record.deadline_ms = now_ms + admission.time_limit_ms(
+            self._ctx, session, params
+        )
         reason = admission.screen(self._ctx, self._memory, session, params)
         if reason is not None:
             retry_ms = _OVERLOADED_RETRY_MS
--- a/tests/session/test_limits.py
+++ b/tests/session/test_limits.py
@@ -2,6 +2,7 @@
 
 from cyclamenridge.session import memory as memory_lib
 from cyclamenridge.wire import caller
+from tests.node import callers
 from tests.node import world as world_lib
 
 
@@ -48,3 +49,15 @@
     request = world.caller.call(session, "change", 4200)
     assert world.finish(request) is caller.Outcome.NOT_RUN
     assert request.reason is caller.Reason.TOO_LARGE
+
+
+def test_deadline_of_a_caller_is_bounded_by_the_kind_of_work():
+    """Guards against a request that holds a slot for minutes."""
+    world = world_lib.World(work_ms=60_000)
+    session = world.open()
+    request = callers.Request(
+        session, 1, "change", b"counter:x", 77, world.fleet.now_ms
+    )
+    request.deadline_ms = 60_000
+    world.caller.requests.append(request)
+    assert world.finish(request, 8_000) is callers.Outcome.UNKNOWN
