--- a/src/cyclamenridge/app.py
+++ b/src/cyclamenridge/app.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import gc
 import signal
 from typing import Any
 from typing import Protocol
@@ -25,6 +26,10 @@
 TICK_MS = 50
 DEFAULT_STOP_MS = 30_000
 
+# A full collection stops the process for 0.16 s at 200,000 feeds. What is
+# held per flow has no reference cycles, so full collections are made rare.
+GC_THRESHOLDS = (10_000, 20, 1_000)
+
 EXIT_STOPPED = 0
 EXIT_SECOND_SIGNAL = 4
 
@@ -113,6 +118,7 @@
 
     async def run(self) -> int:
         """Serve until the planned stop is complete; return the exit code."""
+        gc.set_threshold(*GC_THRESHOLDS)
         try:
             await self.start()
             assert self._exit is not None
