Drop filters of balancers that were replaced

Change: filters of a lost member go after the idle time of flows, and filters of strangers to the home set are not taken.

--- a/src/cyclamenridge/routing/tokenless.py
+++ b/src/cyclamenridge/routing/tokenless.py
@@ -158,7 +158,9 @@
                 return
 
     def learn(self, origin: str, item: pinned.PinnedFilter) -> None:
-        """Use a filter told by another balancer."""
+        """Use a filter told by another balancer of the home set."""
+        if origin not in self._members and origin not in self._lost_ms:
+            return
         if item.is_completion:
             self._told[origin] = item.data
             return
@@ -213,7 +215,17 @@
         self._rotate_at_ms = now_ms + self._idle_ms
         for member, lost_ms in list(self._lost_ms.items()):
             if now_ms - lost_ms > self._idle_ms:
-                del self._lost_ms[member]
+                self._forget_member(member)
+
+    def _forget_member(self, member: str) -> None:
+        """Drop what a lost member told.
+
+        Its flows that are still in use are remembered here by now.
+        """
+        del self._lost_ms[member]
+        self._told.pop(member, None)
+        for origin_server in [k for k in self._pinned if k[0] == member]:
+            del self._pinned[origin_server]
 
     def _earlier(self, key: bytes, usable: tuple[str, ...]) -> str | None:
         """Choose as a lost member did if it could not tell moved flows."""
--- a/tests/routing/test_tokenless.py
+++ b/tests/routing/test_tokenless.py
@@ -60,6 +60,24 @@
         assert successor.route(300, key, opening=False) == server
 
 
+def test_filters_of_a_replaced_balancer_are_dropped():
+    """Guards against memory that grows with each replaced instance."""
+    home, successor = make_router("b1"), make_router("b2")
+    for key in KEYS:
+        home.route(0, key)
+    home.set_servers(100, SERVERS[1:], SERVERS)
+    exchange(home, {"b2": successor})
+    assert successor._pinned
+    successor.set_members(200, ("b2", "b3"))
+    for now_ms in (1_000, 2_500, 4_000):
+        successor.route(now_ms, KEYS[0])
+    assert not successor._pinned
+    stranger = make_router("b9")
+    stranger.set_servers(100, SERVERS[1:], SERVERS)
+    exchange(stranger, {"b2": successor})
+    assert not successor._told.get("b9")
+
+
 def test_new_flow_never_goes_to_a_leaving_server():
     """Guards against new work for a server that is draining."""
     router = make_router("b1")
