Let an owner take its feed back when a successor dies

The first owner, whose token the caller kept using, believed the feed attached until its check of quiet feeds, up to 30 s without events. The failure depended on the hash seed of the process, because home sets that changed were followed in the order of a set. Change: a server tells the link that held a flow when a higher epoch takes it over (notification moved); the owner attaches again on the next keepalive that names it. Changed home sets, listed servers and removed servers are followed in sorted order. Ruled out: checking quiet feeds more often, which costs an attach per feed and interval.

--- a/src/cyclamenridge/feed/owner.py
+++ b/src/cyclamenridge/feed/owner.py
@@ -40,6 +40,7 @@
 _OVERLOADED_RETRY_MS = 1000
 
 _ATTACHED = msgspec.msgpack.Decoder(backend.Attached)
+_MOVED = msgspec.msgpack.Decoder(backend.Moved)
 _EVENT = msgspec.msgpack.Decoder(backend.Event)
 
 
@@ -200,6 +201,22 @@
         self._ctx.counters["events_sent"] += 1
         self._ctx.send(feed.source, data)
 
+    def moved(self, ref: ServerRef, params: msgspec.Raw) -> None:
+        """Take the news that another balancer attached a feed.
+
+        If the caller still uses the token of this node, its next keepalive
+        takes the feed back; without the news that would wait for the
+        check of quiet feeds.
+        """
+        try:
+            moved = _MOVED.decode(params)
+        except msgspec.DecodeError:
+            self._ctx.counters["link_messages_malformed"] += 1
+            return
+        feed = self._table.get(moved.flow_id)
+        if feed is not None and feed.ref == ref and moved.epoch > feed.epoch:
+            feed.confirmed = False
+
     def answered(
         self,
         now_ms: int,
--- a/src/cyclamenridge/node/core.py
+++ b/src/cyclamenridge/node/core.py
@@ -227,6 +227,8 @@
         """Take a notification of a server."""
         if note.method == "event":
             self._feeds.event(now_ms, ref, note.params)
+        elif note.method == "moved":
+            self._feeds.moved(ref, note.params)
         elif note.method == "draining":
             self._services.said_draining(now_ms, ref)
         elif note.method == "datagram":
--- a/src/cyclamenridge/node/packets.py
+++ b/src/cyclamenridge/node/packets.py
@@ -143,7 +143,7 @@
             relay.router.set_members(now_ms, members)
         usable, known = self._servers(now_ms, service)
         if (usable, known) != (relay.usable, relay.known):
-            for name in set(relay.known) - set(known):
+            for name in sorted(set(relay.known) - set(known)):
                 relay.router.forget_server(name)
             relay.usable, relay.known = usable, known
             relay.outbox.clear()
--- a/src/cyclamenridge/node/services.py
+++ b/src/cyclamenridge/node/services.py
@@ -117,7 +117,7 @@
 
     def rehome(self, now_ms: int, rehomed: frozenset[str]) -> None:
         """Follow changes of home sets."""
-        for name in rehomed:
+        for name in sorted(rehomed):
             if self._in_home(name):
                 self.acquire(now_ms, name)
             runtime = self._runtimes.get(name)
@@ -247,7 +247,7 @@
             for item in listed
             if item.role != "balancer"
         }
-        for ref in before | set(self._listed):
+        for ref in sorted(before | set(self._listed)):
             self._apply_listed(now_ms, ref)
 
     def link_up(
--- a/src/cyclamenridge/wire/backend.py
+++ b/src/cyclamenridge/wire/backend.py
@@ -120,6 +120,13 @@
     epoch: int
 
 
+class Moved(msgspec.Struct, frozen=True, array_like=True):
+    """Tells a link that another one attached a flow at a higher epoch."""
+
+    flow_id: int
+    epoch: int
+
+
 class Empty(msgspec.Struct, frozen=True, array_like=True):
     """Parameters of methods that have none."""
 
--- a/tests/node/test_feed_survives.py
+++ b/tests/node/test_feed_survives.py
@@ -173,3 +173,31 @@
     world.fleet.kill_node(world.owner(feed.token))
     world.fleet.run(5000)
     assert_goes_on(world, feed)
+
+
+def test_owner_takes_the_feed_back_when_a_successor_dies():
+    """Guards against silence until the next check of quiet feeds.
+
+    A node that was cut off took the feed over and died before the caller
+    heard of it, so the caller goes on with the token of the first owner.
+    """
+    world = world_lib.World()
+    fleet = world.fleet
+    feed = world.subscribe(world.open())
+    owner = world.owner(feed.token)
+    successor = next(name for name in fleet.nodes if name != owner)
+    others = [name for name in fleet.nodes if name != successor]
+    world.caller.nodes = others
+    for name in others:
+        fleet.block(name, successor)
+        fleet.block(successor, name)
+    fleet.block(successor, str(world.caller.address))
+    fleet.run(8000)
+    world.caller.keepalive(feed, successor)
+    fleet.run(100)
+    server = fleet.servers[world.server_of(feed)]
+    assert server.model.flows[feed.ident].balancer == successor
+    fleet.kill_node(successor)
+    fleet.heal()
+    assert_goes_on(world, feed, 6000)
+    assert world.owner(feed.token) == owner
--- a/tests/standins/server_model.py
+++ b/tests/standins/server_model.py
@@ -416,6 +416,8 @@
         self, now_ms: int, conn: int, message: rpc.Request
     ) -> list[Outgoing]:
         attach = _params(message, backend.Attach)
+        known = self.flows.get(attach.flow_id)
+        previous = known.conn if known is not None else None
         error = self._flows.attach(
             attach,
             conn=conn,
@@ -429,7 +431,11 @@
         flow = self.flows[attach.flow_id]
         first = flow.events[0].seq if flow.events else flow.next_seq
         answer = rpc.response(message.msgid, backend.Attached(first))
-        return [Outgoing(conn, answer)] + [
+        out = [Outgoing(conn, answer)]
+        if previous not in (None, conn):
+            moved = backend.Moved(flow.flow_id, flow.epoch)
+            out.append(Outgoing(previous, rpc.notification("moved", moved)))
+        return out + [
             Outgoing(conn, rpc.notification("event", event))
             for event in flow.events
         ]
--- a/tests/standins/test_server_model.py
+++ b/tests/standins/test_server_model.py
@@ -99,8 +99,10 @@
     server.request(0, "attach", attach)
     server.model.tick(300)
     moved = backend.Attach(9, 2, "feed", "c", 1, False)
-    answer, *events = server.request(300, "attach", moved, conn=2)
+    answer, told, *events = server.request(300, "attach", moved, conn=2)
     assert msgspec.msgpack.decode(answer.result) == [2]
+    assert told.method == "moved"
+    assert msgspec.msgpack.decode(told.params) == [9, 2]
     assert [msgspec.msgpack.decode(e.params)[1] for e in events] == [2, 3]
     (answer,) = server.request(300, "attach", attach)
     assert answer.error == "stale_epoch"
