Check detached feeds at the server that their token names

The trace shows an allowed case: the link to c0 broke during the first attach, the feed was placed at c1, c1 was killed, and then the balancer told c0 to drop what it may have created. Change: the check looks at the server that the caller's token names, as the check of refused feeds does; that one now counts a flow that was detached as alive, which is stricter.

--- a/tests/node/callers.py
+++ b/tests/node/callers.py
@@ -232,11 +232,17 @@
             self.oracle.feed_lost(target, self._flow_lives(target))
 
     def _flow_lives(self, feed):
-        """Tell whether the server named in the token has the flow."""
+        """Tell whether the server named in the token has the flow.
+
+        A flow that a balancer detached was alive until then.
+        """
         server_hash = CODEC.decode(feed.token).server
         return any(
             server.model is not None
-            and feed.ident in server.model.flows
+            and (
+                feed.ident in server.model.flows
+                or feed.ident in server.model.detached
+            )
             and token_lib.name_hash(ref.server) == server_hash
             for ref, server in self.fleet.servers.items()
         )
--- a/tests/node/chaos.py
+++ b/tests/node/chaos.py
@@ -3,6 +3,8 @@
 import random
 
 from cyclamenridge.node import events
+from cyclamenridge.wire import token as token_lib
+from tests.node import callers
 from tests.node import world as world_lib
 
 ServerRef = events.ServerRef
@@ -251,10 +253,20 @@
         self.oracle.verify()
 
     def feed_without_flow(self, feed):
-        """A feed ends without its server's death only when it is closed."""
-        for server in self.fleet.servers.values():
+        """A feed ends without its server's death only when it is closed.
+
+        Only the server that the caller's token names counts: one that was
+        tried before, when its link broke during the first attach, is told
+        to drop what it may have created.
+        """
+        named = callers.CODEC.decode(feed.token).server
+        for ref, server in self.fleet.servers.items():
             model = server.model
-            if model is not None and feed.ident in model.detached:
+            if (
+                model is not None
+                and feed.ident in model.detached
+                and token_lib.name_hash(ref.server) == named
+            ):
                 self.oracle.violations.append(
                     f"feed {feed.ident} was detached by a balancer"
                 )
