Forward flows on the platform, packet by packet

Cause: the product had no way onto its users' platform. The server's identity rides in the echoed field, so any process routes later packets; copies of an opening packet go to another server. Ruled out: aiohttp, typer and pydantic for this process, whose imports take 0.5 s of processor time and more where 0.1 s is enough.

--- a/src/cyclamenridge/adapters/etcd.py
+++ b/src/cyclamenridge/adapters/etcd.py
@@ -103,8 +103,10 @@
             answer.header.revision, entries[0] if entries else None
         )
 
-    async def range(self, prefix: str) -> store.RangeResult:
-        """Read all keys that begin with a prefix."""
+    async def range(
+        self, prefix: str, *, stale: bool = False
+    ) -> store.RangeResult:
+        """Read all keys that begin with a prefix; always the newest."""
         answer = await self._range(messages.prefix_range(prefix))
         entries = messages.entries(answer.kvs)
         if answer.more or not all(
--- /dev/null
+++ b/src/cyclamenridge/flow/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions for flows that are passed on packet by packet; no I/O."""
--- /dev/null
+++ b/src/cyclamenridge/flow/core.py
@@ -0,0 +1,240 @@
+"""Decides where each packet of a client goes."""
+
+import collections
+import random
+
+from cyclamenridge.flow import choice
+from cyclamenridge.flow import directory as directory_lib
+from cyclamenridge.flow import effects
+from cyclamenridge.flow import log as log_port
+from cyclamenridge.flow import observed as observed_lib
+from cyclamenridge.flow import packet as packet_lib
+from cyclamenridge.flow import routes as routes_lib
+from cyclamenridge.flow import tracking
+
+SYN = packet_lib.SYN
+FIN = packet_lib.FIN
+RST = packet_lib.RST
+
+# A client gives up opening a flow after 1.4 s.
+OPENING_MS = 1500
+SWEEP_MS = 500
+
+
+class FlowCore:
+    """Routing of packets; time, randomness and logs are handed in."""
+
+    def __init__(
+        self,
+        *,
+        chooser: choice.Chooser,
+        rng: random.Random,
+        log: log_port.FlowLog,
+    ) -> None:
+        self.counters: collections.Counter[str] = collections.Counter()
+        self.directory = directory_lib.Directory()
+        self.observations = observed_lib.Observations()
+        self.routes: routes_lib.RouteTable | None = None
+        self._chooser = chooser
+        self._rng = rng
+        self._log = log
+        self._flows: dict[tracking.FlowKey, tracking.FlowRecord] = {}
+
+    @property
+    def flows(self) -> int:
+        """Number of flows that this process keeps records of."""
+        return len(self._flows)
+
+    @property
+    def serving(self) -> bool:
+        """Return whether new flows can be placed."""
+        return self.routes is not None and len(self.directory) > 0
+
+    def configure(self, table: routes_lib.RouteTable) -> bool:
+        """Put a configuration in force unless it is older."""
+        if self.routes is not None and table.version <= self.routes.version:
+            return False
+        self.routes = table
+        return True
+
+    def packet(
+        self, now_ms: int, packet: packet_lib.Packet
+    ) -> effects.Effects:
+        """Return what to do with a client's packet."""
+        if packet.flags & SYN:
+            return self._opening(now_ms, packet)
+        return self._later(now_ms, packet)
+
+    def _opening(
+        self, now_ms: int, packet: packet_lib.Packet
+    ) -> effects.Effects:
+        if self.routes is None:
+            self.counters["packets_before_configuration"] += 1
+            return effects.DROP
+        route = self.routes.find(packet.host, packet.port)
+        if route is None:
+            self.counters["flows_without_route"] += 1
+            self._log.flow(now_ms, "no_route", packet, self.routes.version)
+            return effects.RESET
+        key = tracking.key_of(packet)
+        rec = self._flows.get(key)
+        if rec is None or rec.seq != packet.seq:
+            if rec is not None:
+                self._end(rec)
+            rec = tracking.FlowRecord(now_ms, route)
+            rec.seq = packet.seq
+            rec.high = (packet.seq + 1) & 0xFFFFFFFF
+            self._flows[key] = rec
+            self.counters["flows_opened"] += 1
+        rec.last_ms = now_ms
+        if rec.server is not None:
+            # The flow is open: the copy was overtaken by the handshake.
+            self.counters["late_copies"] += 1
+            return effects.DROP
+        for known in rec.tried:
+            seen = self.observations.of(known.listing.name)
+            if seen.repeated(now_ms, key):
+                self._log.server(now_ms, "silent", known.listing.name)
+        service = (
+            rec.tried[0].listing.service
+            if rec.tried
+            else route.pick_service(self._rng)
+        )
+        candidates = self._candidates(now_ms, service)
+        fresh = [known for known in candidates if known not in rec.tried]
+        if not candidates:
+            self.counters["flows_without_server"] += 1
+            self._log.flow(now_ms, "no_server", packet, self.routes.version)
+            return effects.RESET
+        known = self._chooser.choose(
+            now_ms, fresh or candidates, self.observations
+        )
+        seen = self.observations.of(known.listing.name)
+        seen.trial(now_ms)
+        rec.tried.append(known)
+        self._wait(now_ms, rec, known.listing.name)
+        self._log.opening(now_ms, packet, known, seen, self.routes.version)
+        return self._forward(known)
+
+    def _candidates(
+        self, now_ms: int, service: str
+    ) -> list[directory_lib.Known]:
+        ready = [
+            known
+            for known in self.directory.of_service(service)
+            if known.listing.state is directory_lib.ServerState.READY
+            and not self.directory.is_ambiguous(known)
+        ]
+        heard = [
+            known
+            for known in ready
+            if not self.observations.of(known.listing.name).is_silent(now_ms)
+        ]
+        return heard or ready
+
+    def _later(
+        self, now_ms: int, packet: packet_lib.Packet
+    ) -> effects.Effects:
+        known = self.directory.by_token(packet.token)
+        if known is None:
+            self.counters["tokens_unknown"] += 1
+            self._log.flow(now_ms, "unknown_token", packet, packet.token)
+            return effects.DROP
+        if self.routes is not None and (
+            self.routes.find(packet.host, packet.port) is None
+        ):
+            self.counters["route_dropped"] += 1
+            self._log.flow(
+                now_ms, "route_dropped", packet, self.routes.version
+            )
+            return effects.RESET
+        self._observe(now_ms, packet, known)
+        return self._forward(known)
+
+    def _observe(
+        self,
+        now_ms: int,
+        packet: packet_lib.Packet,
+        known: directory_lib.Known,
+    ) -> None:
+        """Learn from a packet what its server did."""
+        key = tracking.key_of(packet)
+        name = known.listing.name
+        seen = self.observations.of(name)
+        rec = self._flows.get(key)
+        if rec is None:
+            route = None
+            if self.routes is not None:
+                route = self.routes.find(packet.host, packet.port)
+            rec = tracking.FlowRecord(now_ms, route)
+            self._flows[key] = rec
+        rec.last_ms = now_ms
+        if rec.server is None:
+            rec.server = known
+            seen.flows += 1
+            self._stop_waiting(rec)
+            seen.answered(now_ms)
+        if packet.flags & RST:
+            self._end(rec)
+            del self._flows[key]
+            return
+        if rec.acked is None:
+            rec.acked = packet.ack
+        elif tracking.is_after(packet.ack, rec.acked):
+            rec.acked = packet.ack
+            rec.silent = 0
+            seen.answered(now_ms)
+            self._stop_waiting(rec)
+        end = (packet.seq + packet.length) & 0xFFFFFFFF
+        if packet.length:
+            if rec.high is None or tracking.is_after(end, rec.high):
+                rec.high = end
+                if rec.waiting is None:
+                    rec.requests += 1
+                    self._wait(now_ms, rec, name)
+            else:
+                rec.silent += 1
+                self.counters["packets_repeated"] += 1
+                if seen.repeated(now_ms, key):
+                    self._log.server(now_ms, "silent", name)
+        if packet.flags & FIN:
+            self._stop_waiting(rec)
+
+    def _wait(self, now_ms: int, rec: tracking.FlowRecord, name: str) -> None:
+        self._stop_waiting(rec)
+        rec.waiting = name
+        rec.waiting_ms = now_ms
+        self.observations.of(name).waiting += 1
+
+    def _stop_waiting(self, rec: tracking.FlowRecord) -> None:
+        if rec.waiting is not None:
+            self.observations.of(rec.waiting).waiting -= 1
+            rec.waiting = None
+
+    def _end(self, rec: tracking.FlowRecord) -> None:
+        self._stop_waiting(rec)
+        if rec.server is not None:
+            self.observations.of(rec.server.listing.name).flows -= 1
+            rec.server = None
+
+    def sweep(self, now_ms: int) -> None:
+        """Forget flows that have ended or gone idle."""
+        idle_ms = 15_000 if self.routes is None else self.routes.idle_ms
+        old = []
+        for key, rec in self._flows.items():
+            if rec.waiting is not None:
+                limit = 5000 if rec.route is None else rec.route.deadline_ms
+                if now_ms - rec.waiting_ms > limit:
+                    self._stop_waiting(rec)
+            longest = OPENING_MS if rec.server is None else idle_ms
+            if now_ms - rec.last_ms > longest:
+                old.append(key)
+        for key in old:
+            self._end(self._flows.pop(key))
+        for name in self.directory.forget(now_ms):
+            self.observations.forget(name)
+
+    @staticmethod
+    def _forward(known: directory_lib.Known) -> effects.Effects:
+        listing = known.listing
+        return (effects.Forward(listing.address, listing.ident, known.token),)
--- /dev/null
+++ b/src/cyclamenridge/flow/effects.py
@@ -0,0 +1,32 @@
+"""What the flow core decides about a packet."""
+
+import msgspec
+
+from cyclamenridge import address as address_lib
+
+
+class Forward(msgspec.Struct, frozen=True, gc=False):
+    """Send the packet to a backend server.
+
+    :param ident: number that the datagram names the server by
+    :param token: value that the server and the client echo from now on
+    """
+
+    address: address_lib.Address
+    ident: int
+    token: int
+
+
+class Reset(msgspec.Struct, frozen=True, gc=False):
+    """Answer the packet with a reset."""
+
+
+class Drop(msgspec.Struct, frozen=True, gc=False):
+    """Send nothing."""
+
+
+Effect = Forward | Reset | Drop
+Effects = tuple[Effect, ...]
+
+RESET: Effects = (Reset(),)
+DROP: Effects = (Drop(),)
--- /dev/null
+++ b/src/cyclamenridge/flow/routes.py
@@ -0,0 +1,58 @@
+"""Routes of a configuration and the services that they lead to."""
+
+from collections.abc import Mapping
+import dataclasses
+import random
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A service that a route leads to, with its share of new flows."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """An address that clients open flows to.
+
+    :param host: IPv4 address as a number
+    :param idempotent: whether requests may run more than once
+    :param deadline_ms: time that a request has in all
+    :param aim_ms: time within which an answer is worth most
+    """
+
+    name: str
+    host: int
+    port: int
+    targets: tuple[Target, ...]
+    idempotent: bool
+    deadline_ms: int
+    aim_ms: int
+
+    def pick_service(self, rng: random.Random) -> str:
+        """Draw a service by weight."""
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        return rng.choices(
+            [target.service for target in self.targets],
+            [target.weight for target in self.targets],
+        )[0]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteTable:
+    """Routes of one version of the configuration.
+
+    :param idle_ms: a flow without packets for this long may be forgotten
+    """
+
+    version: int
+    routes: Mapping[tuple[int, int], Route]
+    services: frozenset[str]
+    idle_ms: int
+
+    def find(self, host: int, port: int) -> Route | None:
+        """Return the route of an address, None when there is none."""
+        return self.routes.get((host, port))
--- /dev/null
+++ b/src/cyclamenridge/flow/settings.py
@@ -0,0 +1,44 @@
+"""Settings of a balancer process on the platform."""
+
+import dataclasses
+
+from cyclamenridge import address as address_lib
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreSettings:
+    """The platform's key-value service."""
+
+    address: address_lib.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FlowSettings:
+    """What a process needs to know of its machine and of the platform.
+
+    :param packets: address that packets of clients arrive at
+    :param ready: address that is asked whether the process takes packets
+    :param seeds: peers to ask first; empty when none are told
+    :param peer_ports: first and last port for traffic between balancers
+    :param stop_ms: time between SIGTERM and SIGKILL
+    :param drain_ms: time after which a leaving server gets no new flows
+    :param config_ms: time within which a configuration is in force
+    :param recover_ms: time within which service is back
+    :param max_flow_ms: age at which a flow may be discarded
+    :param heartbeat_ms: interval at which backend servers report
+    """
+
+    name: str
+    failure_domain: str
+    ip: str
+    packets: address_lib.Address
+    ready: address_lib.Address
+    seeds: tuple[address_lib.Address, ...]
+    peer_ports: tuple[int, int]
+    store: StoreSettings
+    stop_ms: int
+    drain_ms: int
+    config_ms: int
+    recover_ms: int
+    max_flow_ms: int
+    heartbeat_ms: int
--- /dev/null
+++ b/src/cyclamenridge/flow_app.py
@@ -0,0 +1,166 @@
+"""Application object of a process that forwards flows."""
+
+import asyncio
+from collections.abc import Callable
+import signal
+
+import transitions
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.adapters import jsonlog
+import cyclamenridge.clock as clock_lib
+import cyclamenridge.errors as errors
+from cyclamenridge.flow import core as core_lib
+from cyclamenridge.flow import effects
+from cyclamenridge.flow import packet as packet_lib
+from cyclamenridge.flow import settings as settings_lib
+from cyclamenridge.ports import component
+from cyclamenridge.ports import datagrams
+from cyclamenridge.ports import wire as wire_port
+
+TICK_MS = 100
+# Routers notice within a second that a process is not ready any more; the
+# rest covers packets that are under way.
+LEAVE_MS = 2500
+# Time that is kept for the end of the process before it is killed.
+STOP_MARGIN_MS = 1500
+
+_STATES = ["starting", "serving", "leaving", "stopped"]
+_TRANSITIONS = [
+    {"trigger": "serve", "source": "starting", "dest": "serving"},
+    {
+        "trigger": "leave",
+        "source": ["starting", "serving"],
+        "dest": "leaving",
+    },
+    {"trigger": "end", "source": "*", "dest": "stopped"},
+]
+
+
+class FlowApplication:
+    """Passes packets to the core and carries out its decisions."""
+
+    state: str
+
+    def __init__(
+        self,
+        core: core_lib.FlowCore,
+        *,
+        settings: settings_lib.FlowSettings,
+        clock: clock_lib.Clock,
+        packets: datagrams.Datagrams,
+        codec: wire_port.PacketCodec,
+        log: jsonlog.JsonLog,
+        reload: Callable[[], None],
+    ) -> None:
+        self.core = core
+        self.clock = clock
+        self._settings = settings
+        self._packets = packets
+        self._codec = codec
+        self._log = log
+        self._reload = reload
+        self._components: list[component.Component] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._exit: asyncio.Event = asyncio.Event()
+        self._machine = transitions.Machine(
+            model=self,
+            states=_STATES,
+            transitions=_TRANSITIONS,
+            initial="starting",
+            auto_transitions=False,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Return whether routers should send packets here."""
+        return self.state == "serving"
+
+    def add_component(self, item: component.Component) -> None:
+        """Start and stop another part together with the application."""
+        self._components.append(item)
+
+    async def run(self) -> int:
+        """Serve until a planned stop is complete; return the exit code."""
+        loop = asyncio.get_running_loop()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signum, self.request_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        try:
+            self._packets.open(self._datagram)
+            for item in self._components:
+                await item.start()
+            self._tasks.append(loop.create_task(self._tick(), name="tick"))
+            self._log.process("started", state=self.state)
+            await self._exit.wait()
+            return 0
+        finally:
+            await self.stop()
+
+    async def stop(self) -> None:
+        """Release everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for item in reversed(self._components):
+            await item.stop()
+        self._packets.close()
+        self.end()  # type: ignore[attr-defined]
+        self._log.process("stopped", counters=dict(self.core.counters))
+        self._log.flush()
+
+    def request_stop(self) -> None:
+        """Leave the rotation, serve on for a while, then end."""
+        if self.state not in ("starting", "serving"):
+            self._exit.set()
+            return
+        self.leave()  # type: ignore[attr-defined]
+        self._log.process("leaving")
+        loop = asyncio.get_running_loop()
+        leave_ms = min(LEAVE_MS, self._settings.stop_ms - STOP_MARGIN_MS)
+        loop.call_later(max(leave_ms, 0) / 1000, self._exit.set)
+
+    def updated(self) -> None:
+        """Look again whether new flows can be placed."""
+        if self.state == "starting" and self.core.serving:
+            self.serve()  # type: ignore[attr-defined]
+            assert self.core.routes is not None
+            self._log.process(
+                "serving",
+                config=self.core.routes.version,
+                servers=len(self.core.directory),
+            )
+
+    def _datagram(self, source: address_lib.Address, data: bytes) -> None:
+        try:
+            packet = self._codec.decode(data)
+        except errors.WireError:
+            self.core.counters["packets_malformed"] += 1
+            return
+        now_ms = self.clock.now_ms()
+        for effect in self.core.packet(now_ms, packet):
+            if type(effect) is effects.Forward:
+                self._packets.send(
+                    effect.address,
+                    self._codec.encode_forward(
+                        data, ident=effect.ident, token=effect.token
+                    ),
+                )
+            elif type(effect) is effects.Reset:
+                self._packets.send(
+                    self._client(packet), self._codec.encode_reset(packet)
+                )
+
+    def _client(self, packet: packet_lib.Packet) -> address_lib.Address:
+        number = packet.client
+        host = ".".join(str(number >> shift & 255) for shift in (24, 16, 8, 0))
+        return address_lib.Address(host, self._settings.packets.port)
+
+    async def _tick(self) -> None:
+        ticks = 0
+        while True:
+            await asyncio.sleep(TICK_MS / 1000)
+            ticks += 1
+            self._log.flush()
+            if ticks % (core_lib.SWEEP_MS // TICK_MS) == 0:
+                self.core.sweep(self.clock.now_ms())
--- /dev/null
+++ b/src/cyclamenridge/follower.py
@@ -0,0 +1,187 @@
+"""Follows the store: configuration and backend servers."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from cyclamenridge import clock as clock_lib
+from cyclamenridge import errors
+from cyclamenridge.flow import core as core_lib
+from cyclamenridge.flow import directory
+from cyclamenridge.flow import log as log_port
+from cyclamenridge.flow import routes
+from cyclamenridge.ports import component
+from cyclamenridge.ports import records as records_port
+from cyclamenridge.ports import store as store_port
+
+_FIRST_PAUSE_MS = 100
+_MAX_PAUSE_MS = 1500
+# Changes that come close together are fetched with one call.
+GATHER_MS = 300
+
+
+class StoreFollower(component.Component):
+    """Reads everything once and watches from there on."""
+
+    def __init__(
+        self,
+        store: store_port.KeyValueStore,
+        records: records_port.Records,
+        core: core_lib.FlowCore,
+        *,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        log: log_port.FlowLog,
+        updated: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._records = records
+        self._core = core
+        self._clock = clock
+        self._rng = rng
+        self._log = log
+        self._updated = updated
+        self._task: asyncio.Task[None] | None = None
+        self.heard_ms: int | None = None
+        self._lost = False
+
+    async def start(self) -> None:
+        """Begin to follow the store."""
+        self._task = asyncio.get_running_loop().create_task(
+            self._run(), name="store"
+        )
+
+    async def stop(self) -> None:
+        """End all calls."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._store.close()
+
+    async def _run(self) -> None:
+        limit_ms = _FIRST_PAUSE_MS
+        stale = True
+        while True:
+            try:
+                if self._core.directory.revision == 0:
+                    await self._read(stale=stale)
+                    limit_ms = _FIRST_PAUSE_MS
+                await self._watch()
+            except store_port.WatchLostError as exc:
+                self._fail("store_history_lost", exc)
+                # Only a read that is current may follow a gap.
+                stale = False
+                self._core.directory.revision = 0
+            except errors.StoreError as exc:
+                self._fail("store_lost", exc)
+            await asyncio.sleep(
+                self._rng.uniform(limit_ms / 2, limit_ms) / 1000
+            )
+            limit_ms = min(limit_ms * 2, _MAX_PAUSE_MS)
+
+    async def _read(self, *, stale: bool) -> None:
+        got = await self._store.range("", stale=stale)
+        listings = []
+        for entry in got.entries:
+            if self._records.is_config(entry.key):
+                self._configure(entry.value)
+            elif self._records.is_server(entry.key):
+                listing = self._listing(
+                    entry.key, entry.value, entry.mod_revision
+                )
+                if listing is not None:
+                    listings.append(listing)
+        now_ms = self._clock.now_ms()
+        put, removed = self._core.directory.replace(
+            now_ms, got.revision, listings
+        )
+        self._heard()
+        self._log.process(
+            "store_read",
+            revision=got.revision,
+            stale=stale,
+            servers=len(listings),
+            put=put[:20],
+            removed=removed[:20],
+        )
+        self._updated()
+
+    async def _watch(self) -> None:
+        batches = self._store.watch(
+            "", start_revision=self._core.directory.revision + 1, prefix=True
+        )
+        async for batch in batches:
+            self._heard()
+            now_ms = self._clock.now_ms()
+            for change in batch.changes:
+                self._change(now_ms, change)
+            self._core.directory.revision = batch.revision
+            if batch.changes:
+                self._updated()
+                await asyncio.sleep(GATHER_MS / 1000)
+
+    def _change(self, now_ms: int, change: store_port.Change) -> None:
+        if self._records.is_config(change.key):
+            if change.value is not None:
+                self._configure(change.value)
+        elif self._records.is_server(change.key):
+            name = self._records.server_name(change.key)
+            if change.value is None:
+                if self._core.directory.remove(
+                    now_ms, name, change.mod_revision
+                ):
+                    self._log.process(
+                        "server_removed",
+                        server=name,
+                        revision=change.mod_revision,
+                    )
+                return
+            listing = self._listing(
+                change.key, change.value, change.mod_revision
+            )
+            if listing is None:
+                self._core.directory.remove(now_ms, name, change.mod_revision)
+            elif self._core.directory.put(now_ms, listing):
+                self._log.process(
+                    "server_listed",
+                    server=name,
+                    service=listing.service,
+                    state=listing.state.value,
+                    failure_domain=listing.failure_domain,
+                    warmup_ms=listing.warmup_ms,
+                    revision=listing.revision,
+                )
+
+    def _listing(
+        self, key: str, value: bytes, revision: int
+    ) -> directory.Listing | None:
+        try:
+            return self._records.decode_server(key, value, revision)
+        except errors.StoreError as exc:
+            self._core.counters["entries_refused"] += 1
+            self._log.process("entry_refused", key=key, error=str(exc))
+            return None
+
+    def _configure(self, value: bytes) -> None:
+        try:
+            table: routes.RouteTable = self._records.decode_config(value)
+        except errors.ConfigError as exc:
+            self._core.counters["configurations_refused"] += 1
+            self._log.process("configuration_refused", error=str(exc))
+            return
+        if self._core.configure(table):
+            self._log.process(
+                "configured", version=table.version, routes=len(table.routes)
+            )
+
+    def _heard(self) -> None:
+        self.heard_ms = self._clock.now_ms()
+        if self._lost:
+            self._lost = False
+            self._log.process("store_regained")
+
+    def _fail(self, event: str, exc: errors.StoreError) -> None:
+        self._core.counters["store_failures"] += 1
+        if not self._lost:
+            self._lost = True
+            self._log.process(event, error=str(exc))
--- /dev/null
+++ b/src/cyclamenridge/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the platform's names, formats and calls and ours."""
--- /dev/null
+++ b/src/cyclamenridge/platform/records.py
@@ -0,0 +1,158 @@
+"""Records that the operator and the backend servers keep in the store."""
+
+import ipaddress
+import re
+
+import msgspec
+
+from cyclamenridge import address as address_lib
+from cyclamenridge import errors
+from cyclamenridge.flow import directory
+from cyclamenridge.flow import routes
+from cyclamenridge.ports import records
+
+CONFIG_KEY = "op/config"
+SERVER_PREFIX = "servers/"
+
+_NOT_HEX = re.compile(r"[^0-9a-fA-F]")
+_MAX_IDENT = 2**64
+
+
+class _Target(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    # An address of the platform that clients open flows to.
+    host: str
+    # A port between slashes.
+    prefix: str
+    # What may be repeated: only "safe" requests.
+    type: str
+    timeout_ms: int
+    target_latency_ms: int
+    service: str | None = None
+    weighted_targets: list[_Target] | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+
+
+class _Limits(msgspec.Struct):
+    idle_timeout_ms: int
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    # How long the server stays slow, from the time of writing.
+    warmup_left_ms: float
+    # Start of the incarnation, Unix time in milliseconds.
+    born: int = 0
+
+
+_config_decoder = msgspec.json.Decoder(_Config)
+_server_decoder = msgspec.json.Decoder(_Server)
+
+
+class PlatformRecords(records.Records):
+    """Keys and JSON values as the platform's pages give them."""
+
+    def is_config(self, key: str) -> bool:
+        """Return whether the key holds the configuration."""
+        return key == CONFIG_KEY
+
+    def is_server(self, key: str) -> bool:
+        """Return whether the key holds a backend server."""
+        return key.startswith(SERVER_PREFIX)
+
+    def server_name(self, key: str) -> str:
+        """Return the name of the server of a key."""
+        return key.removeprefix(SERVER_PREFIX)
+
+    def decode_config(self, value: bytes) -> routes.RouteTable:
+        """Read a configuration.
+
+        :raises ConfigError: when it cannot be used
+        """
+        try:
+            cfg = _config_decoder.decode(value)
+            table = {}
+            for route in cfg.routes:
+                host = int(ipaddress.IPv4Address(route.host))
+                port = int(route.prefix.strip("/"))
+                table[host, port] = routes.Route(
+                    name=route.name,
+                    host=host,
+                    port=port,
+                    targets=_targets(route),
+                    idempotent=route.type == "safe",
+                    deadline_ms=route.timeout_ms,
+                    aim_ms=route.target_latency_ms,
+                )
+        except (msgspec.MsgspecError, ValueError) as exc:
+            raise errors.ConfigError(f"configuration: {exc}") from exc
+        return routes.RouteTable(
+            version=cfg.version,
+            routes=table,
+            services=frozenset(service.name for service in cfg.services),
+            idle_ms=cfg.limits.idle_timeout_ms,
+        )
+
+    def decode_server(
+        self, key: str, value: bytes, revision: int
+    ) -> directory.Listing:
+        """Read the entry of a backend server.
+
+        :raises StoreError: when the entry names no server to use
+        """
+        name = self.server_name(key)
+        digits = _NOT_HEX.sub("", name)
+        try:
+            server = _server_decoder.decode(value)
+            ident = int(digits, 16)
+            address = address_lib.Address.parse(server.address)
+            state = directory.ServerState(server.state)
+        except (msgspec.MsgspecError, ValueError, errors.ConfigError) as exc:
+            raise errors.StoreError(f"entry {key!r}: {exc}") from exc
+        if not 0 < ident < _MAX_IDENT or server.slots < 1:
+            raise errors.StoreError(f"entry {key!r}: id or slots out of range")
+        return directory.Listing(
+            name=name,
+            ident=ident,
+            service=server.service,
+            address=address,
+            failure_domain=server.zone,
+            slots=server.slots,
+            state=state,
+            warmup_ms=max(0, round(server.warmup_left_ms)),
+            born_ms=server.born,
+            revision=revision,
+        )
+
+
+def _targets(route: _Route) -> tuple[routes.Target, ...]:
+    if route.weighted_targets:
+        targets = tuple(
+            routes.Target(target.service, target.weight)
+            for target in route.weighted_targets
+            if target.weight > 0
+        )
+        if targets:
+            return targets
+    if route.service is None:
+        raise ValueError(f"route {route.name!r} leads to no service")
+    return (routes.Target(route.service, 1),)
--- /dev/null
+++ b/src/cyclamenridge/platform/settings.py
@@ -0,0 +1,136 @@
+"""Settings file that the platform writes for each process."""
+
+import pathlib
+import tomllib
+from typing import Any
+
+from cyclamenridge import address as address_lib
+from cyclamenridge import errors
+from cyclamenridge.flow import settings
+
+PATH_VARIABLE = "CYCLAMENRIDGE_CONFIG"
+
+
+def load(path: pathlib.Path) -> settings.FlowSettings:
+    """Read and check the settings; unknown fields are ignored.
+
+    :raises ConfigError: with every finding, one a line
+    """
+    try:
+        with path.open("rb") as file:
+            table = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise errors.ConfigError(f"{path}: {exc}") from exc
+    reader = _Reader(table)
+    loaded = settings.FlowSettings(
+        name=reader.text("node_name"),
+        failure_domain=reader.text("zone"),
+        ip=reader.text("ip"),
+        packets=reader.address("listen_addrs.datagram_addr"),
+        ready=reader.address("listen_addrs.ready"),
+        seeds=reader.addresses("seed_nodes"),
+        peer_ports=reader.ports("internal_ports"),
+        store=settings.StoreSettings(
+            address=reader.address("platform.address")
+        ),
+        stop_ms=reader.milliseconds("bounds.grace_s", unit_ms=1000),
+        drain_ms=reader.milliseconds("bounds.drain_ms"),
+        config_ms=reader.milliseconds("bounds.config_apply_ms"),
+        recover_ms=reader.milliseconds("bounds.recovery_s", unit_ms=1000),
+        max_flow_ms=reader.milliseconds("bounds.max_flow_s", unit_ms=1000),
+        heartbeat_ms=reader.milliseconds("heartbeat_ms"),
+    )
+    reader.require("discovery", "platform")
+    reader.require("forwarding_mode", "echo")
+    reader.require("platform.forwarding_mode", "kv")
+    if reader.findings:
+        raise errors.ConfigError(
+            "\n".join(f"{path}: {finding}" for finding in reader.findings)
+        )
+    return loaded
+
+
+_NOWHERE = address_lib.Address("0.0.0.0", 0)
+
+
+class _Reader:
+    """Reads fields by dotted name and collects what is wrong with them."""
+
+    def __init__(self, table: dict[str, Any]) -> None:
+        self._table = table
+        self.findings: list[str] = []
+
+    def require(self, name: str, allowed: str) -> None:
+        """Check a field that has one usable value."""
+        if self._get(name) != allowed:
+            self._finding(name, f"{allowed!r}")
+
+    def text(self, name: str) -> str:
+        """Return a text that is not empty."""
+        value = self._get(name)
+        if isinstance(value, str) and value:
+            return value
+        self._finding(name, "a text")
+        return ""
+
+    def milliseconds(self, name: str, *, unit_ms: int = 1) -> int:
+        """Return a time above 0 in milliseconds."""
+        value = self._get(name)
+        if (
+            isinstance(value, int | float)
+            and not isinstance(value, bool)
+            and 0 < value < float("inf")
+        ):
+            return round(value * unit_ms)
+        self._finding(name, "a number above 0")
+        return 0
+
+    def address(self, name: str) -> address_lib.Address:
+        """Return an address with a port."""
+        value = self._get(name)
+        if isinstance(value, str):
+            try:
+                return address_lib.Address.parse(value)
+            except errors.ConfigError:
+                pass
+        self._finding(name, "an IPv4 address with a port")
+        return _NOWHERE
+
+    def addresses(self, name: str) -> tuple[address_lib.Address, ...]:
+        """Return a list of addresses, empty when the field is absent."""
+        value = self._get(name)
+        if value is None:
+            return ()
+        try:
+            return tuple(address_lib.Address.parse(text) for text in value)
+        except (errors.ConfigError, TypeError, AttributeError):
+            self._finding(name, "a list of IPv4 addresses with ports")
+            return ()
+
+    def ports(self, name: str) -> tuple[int, int]:
+        """Return the first and the last port of a range."""
+        value = self._get(name)
+        if (
+            isinstance(value, list)
+            and len(value) == 2
+            and all(type(port) is int for port in value)
+            and 0 < value[0] <= value[1] < 65536
+        ):
+            return value[0], value[1]
+        self._finding(name, "the first and the last port of a range")
+        return 0, 0
+
+    def _get(self, name: str) -> Any:
+        value: Any = self._table
+        for part in name.split("."):
+            if not isinstance(value, dict):
+                return None
+            value = value.get(part)
+        return value
+
+    def _finding(self, name: str, allowed: str) -> None:
+        found = self._get(name)
+        self.findings.append(
+            f"{name}: expected {allowed}, found "
+            + ("nothing" if found is None else repr(found))
+        )
--- /dev/null
+++ b/src/cyclamenridge/platform/store.py
@@ -0,0 +1,301 @@
+"""Client of the platform's store."""
+
+import base64
+import binascii
+from collections.abc import AsyncIterator
+from typing import TypeVar
+import urllib.parse
+
+import msgspec
+
+from cyclamenridge import address as address_lib
+from cyclamenridge.adapters import http
+import cyclamenridge.errors as errors
+from cyclamenridge.ports import store
+
+CONNECT_MS = 1000
+CALL_MS = 2500
+# The store lets a watch wait for at most 30 s.
+WATCH_WAIT_MS = 10_000
+_MAX_PAGES = 1000
+
+_T = TypeVar("_T")
+
+
+class _Item(msgspec.Struct):
+    key: str
+    revision: int
+    # Standard base64.
+    value: str = ""
+    deleted: bool = False
+
+
+class _OneItem(msgspec.Struct):
+    key: str
+    value: str
+    revision: int
+    store_revision: int
+
+
+class _Items(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool
+    store_revision: int
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    store_revision: int
+
+
+class _Written(msgspec.Struct):
+    revision: int
+
+
+class _Current(msgspec.Struct):
+    items: list[_Item]
+
+
+class _Lease(msgspec.Struct):
+    ttl_ms: int
+    lease: int = 0
+
+
+class _Missing(msgspec.Struct):
+    store_revision: int = 0
+
+
+class PlatformStore(store.KeyValueStore):
+    """Calls and each watch use connections of their own."""
+
+    def __init__(
+        self, address: address_lib.Address, *, watch_wait_ms: int
+    ) -> None:
+        self._address = address
+        self._watch_wait_ms = watch_wait_ms
+        self._calls = http.HttpClient(address)
+        self._watches: set[http.HttpClient] = set()
+
+    async def get(self, key: str, *, revision: int = 0) -> store.GetResult:
+        """Read one key; the store keeps no older versions."""
+        if revision:
+            raise store.CompactedError("the store reads the newest only")
+        answer = await self._read("/kv-key", key=key)
+        if answer.status == 404:
+            missing = _decode(answer, _Missing)
+            return store.GetResult(missing.store_revision, None)
+        item = _decode(answer, _OneItem)
+        return store.GetResult(
+            item.store_revision,
+            store.KeyValue(item.key, _value(item.value), item.revision),
+        )
+
+    async def range(
+        self, prefix: str, *, stale: bool = False
+    ) -> store.RangeResult:
+        """Read all keys that begin with a prefix, page by page.
+
+        Pages are read one after the other; the result carries the revision
+        of the first one, so that a watch from there misses no change.
+        """
+        entries: dict[str, store.KeyValue] = {}
+        revision = 0
+        after = ""
+        for _ in range(_MAX_PAGES):
+            query = {"prefix": prefix}
+            if after:
+                query["after"] = after
+            if stale:
+                query["stale_ok"] = "1"
+            answer = await self._read("/kv-range", **query)
+            page = _decode(answer, _Items)
+            revision = revision or page.store_revision
+            for item in page.items:
+                entries[item.key] = store.KeyValue(
+                    item.key, _value(item.value), item.revision
+                )
+            if not page.has_more or not page.items:
+                return store.RangeResult(
+                    revision, tuple(entries[key] for key in sorted(entries))
+                )
+            after = page.items[-1].key
+        raise errors.StoreError("the store returns pages without end")
+
+    async def compare_and_put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        mod_revision: int,
+        lease_id: int = 0,
+    ) -> store.PutResult:
+        """Write a key if it still has ``mod_revision``; 0 means absent."""
+        body = {
+            "expected_rev": [{"key": key, "revision": mod_revision}],
+            "puts": [
+                {
+                    "key": key,
+                    "value": base64.b64encode(value).decode(),
+                    "lease": lease_id,
+                }
+            ],
+            "remove": [],
+        }
+        answer = await self._write("POST", "/kv-txn", body)
+        if answer.status == 412:
+            items = _decode(answer, _Current, status=412).items
+            held = [i for i in items if i.key == key and i.revision]
+            current = None
+            if held and not held[0].deleted:
+                current = store.KeyValue(
+                    key, _value(held[0].value), held[0].revision
+                )
+            return store.PutResult(False, 0, current)
+        if answer.status == 404:
+            raise store.LeaseLapsedError(f"lease {lease_id} has ended")
+        return store.PutResult(True, _decode(answer, _Written).revision)
+
+    async def watch(
+        self, key: str, *, start_revision: int, prefix: bool = False
+    ) -> AsyncIterator[store.WatchBatch]:
+        """Follow the changes of all keys that begin with ``key``."""
+        client = http.HttpClient(self._address)
+        self._watches.add(client)
+        after = start_revision - 1
+        try:
+            while True:
+                query = urllib.parse.urlencode(
+                    {
+                        "prefix": key,
+                        "after": after,
+                        "wait_ms": self._watch_wait_ms,
+                    }
+                )
+                answer = await _call(
+                    client,
+                    "GET",
+                    f"/kv-watch?{query}",
+                    timeout_ms=self._watch_wait_ms + CALL_MS,
+                )
+                if answer.status == 410:
+                    raise store.WatchLostError(
+                        f"history after revision {after} is gone"
+                    )
+                batch = _decode(answer, _Events)
+                if batch.store_revision < after:
+                    raise store.WatchLostError(
+                        f"revision went from {after} to {batch.store_revision}"
+                    )
+                after = batch.store_revision
+                yield store.WatchBatch(
+                    after,
+                    tuple(
+                        store.Change(
+                            item.key,
+                            None if item.deleted else _value(item.value),
+                            item.revision,
+                        )
+                        for item in batch.events
+                        if prefix or item.key == key
+                    ),
+                )
+        finally:
+            client.close()
+            self._watches.discard(client)
+
+    async def grant_lease(self, ttl_s: int) -> store.Lease:
+        """Create a lease."""
+        answer = await self._write(
+            "POST", "/kv-lease", {"ttl_ms": ttl_s * 1000}
+        )
+        lease = _decode(answer, _Lease)
+        return store.Lease(lease.lease, lease.ttl_ms // 1000)
+
+    async def keep_lease_alive(self, lease_id: int) -> store.Lease:
+        """Renew a lease; raise LeaseLapsedError when it is gone."""
+        answer = await self._write("POST", f"/kv-keep/{lease_id}", None)
+        if answer.status == 404:
+            raise store.LeaseLapsedError(f"lease {lease_id} has ended")
+        return store.Lease(lease_id, _decode(answer, _Lease).ttl_ms // 1000)
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease and delete its keys; a lapsed lease is no error."""
+        answer = await self._write("DELETE", f"/kv-lease-end/{lease_id}", None)
+        if answer.status not in (200, 204, 404):
+            raise _refused(answer)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for client in (self._calls, *self._watches):
+            client.close()
+
+    async def _read(self, path: str, **query: str) -> http.Answer:
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        return await _call(self._calls, "GET", target)
+
+    async def _write(
+        self, method: str, path: str, body: object | None
+    ) -> http.Answer:
+        data = b"" if body is None else msgspec.json.encode(body)
+        return await _call(self._calls, method, path, data, write=True)
+
+
+async def _call(
+    client: http.HttpClient,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    *,
+    write: bool = False,
+    timeout_ms: int = CALL_MS,
+) -> http.Answer:
+    try:
+        answer = await client.request(
+            method,
+            target,
+            body,
+            timeout_ms=timeout_ms,
+            connect_ms=CONNECT_MS,
+        )
+    except http.ConnectError as exc:
+        raise errors.StoreUnavailableError(str(exc)) from exc
+    except http.NoAnswerError as exc:
+        if write:
+            raise errors.StoreOutcomeUnknownError(str(exc)) from exc
+        raise errors.StoreUnavailableError(str(exc)) from exc
+    if answer.status in (429, 503):
+        # Both say that nothing was done.
+        raise errors.StoreUnavailableError(
+            f"{method} {target}: status {answer.status}"
+        )
+    return answer
+
+
+def _decode(answer: http.Answer, kind: type[_T], *, status: int = 200) -> _T:
+    if answer.status != status and not (
+        kind is _Missing and answer.status == 404
+    ):
+        raise _refused(answer)
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError as exc:
+        if kind is _Missing:
+            return kind()
+        raise errors.StoreError(f"answer of the store: {exc}") from exc
+
+
+def _refused(answer: http.Answer) -> errors.StoreError:
+    text = answer.body[:200].decode(errors="replace")
+    return errors.StoreError(f"status {answer.status}: {text}")
+
+
+def _value(text: str) -> bytes:
+    """Return the bytes of an item.
+
+    Text that is no base64 is passed on as it is, so that only the reader of
+    this one entry refuses it.
+    """
+    try:
+        return base64.b64decode(text, validate=True)
+    except (binascii.Error, ValueError):
+        return text.encode()
--- a/src/cyclamenridge/ports/store.py
+++ b/src/cyclamenridge/ports/store.py
@@ -122,8 +122,12 @@
         """
 
     @abc.abstractmethod
-    async def range(self, prefix: str) -> RangeResult:
-        """Read all keys that begin with a prefix."""
+    async def range(self, prefix: str, *, stale: bool = False) -> RangeResult:
+        """Read all keys that begin with a prefix.
+
+        :param stale: accept an answer that may be seconds old, if the store
+            offers that at a lower price
+        """
 
     @abc.abstractmethod
     async def compare_and_put(
