--- a/src/cyclamenridge/flow_app.py
+++ b/src/cyclamenridge/flow_app.py
@@ -6,8 +6,8 @@
 
 import transitions
 
-from cyclamenridge import address as address_lib
 from cyclamenridge.adapters import jsonlog
+import cyclamenridge.address as address_lib
 import cyclamenridge.clock as clock_lib
 import cyclamenridge.errors as errors
 from cyclamenridge.flow import core as core_lib
--- a/src/cyclamenridge/platform/store.py
+++ b/src/cyclamenridge/platform/store.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from cyclamenridge import address as address_lib
 from cyclamenridge.adapters import http
+import cyclamenridge.address as address_lib
 import cyclamenridge.errors as errors
 from cyclamenridge.ports import store
 
