Give up flows of lost servers when their requests may run again

Ruled out: resets for requests that must not run twice, as clients do not repeat those on a new flow. Change: a server is lost when three flows were unanswered and nothing was acknowledged for 0.4 s; a silent server is tried beside one that is heard, so that no client pays for the trial.

--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -19,6 +19,12 @@
 # A client gives up opening a flow after 1.4 s.
 OPENING_MS = 1500
 SWEEP_MS = 500
+# Repeats of a packet of one flow, and time without any answer of its server,
+# after which the flow alone shows that the server is lost.
+STUCK_REPEATS = 3
+STUCK_MS = 1200
+# A server that answered within this time is reached from here.
+ALIVE_MS = 600
 
 
 class FlowCore:
@@ -92,45 +98,84 @@
             self.counters["late_copies"] += 1
             return effects.DROP
         for known in rec.tried:
-            seen = self.observations.of(known.listing.name)
-            if seen.repeated(now_ms, key):
-                self._log.server(now_ms, "silent", known.listing.name)
+            self._repeated(now_ms, key, known)
         service = (
             rec.tried[0].listing.service
             if rec.tried
             else route.pick_service(self._rng)
         )
-        candidates = self._candidates(now_ms, service)
-        fresh = [known for known in candidates if known not in rec.tried]
-        if not candidates:
+        ready = self._ready(service)
+        if not ready:
             self.counters["flows_without_server"] += 1
             self._log.flow(now_ms, "no_server", packet, self.routes.version)
             return effects.RESET
+        return self._place(now_ms, packet, rec, ready)
+
+    def _place(
+        self,
+        now_ms: int,
+        packet: packet_lib.Packet,
+        rec: tracking.FlowRecord,
+        ready: list[directory_lib.Known],
+    ) -> effects.Effects:
+        """Choose a server; a silent one is tried beside it now and then."""
+        observations = self.observations
+        heard = []
+        silent = []
+        for known in ready:
+            seen = observations.of(known.listing.name)
+            (silent if seen.is_silent(now_ms) else heard).append(known)
+        fresh = [known for known in heard if known not in rec.tried]
         known = self._chooser.choose(
-            now_ms, fresh or candidates, self.observations
+            now_ms, fresh or heard or ready, observations
         )
-        seen = self.observations.of(known.listing.name)
-        seen.trial(now_ms)
-        rec.tried.append(known)
+        chosen = [known]
+        for other in silent:
+            seen = observations.of(other.listing.name)
+            if (
+                other is not known
+                and other not in rec.tried
+                and seen.try_again(now_ms)
+            ):
+                chosen.append(other)
+                break
         self._wait(now_ms, rec, known.listing.name)
-        self._log.opening(now_ms, packet, known, seen, self.routes.version)
-        return self._forward(known)
+        out: effects.Effects = ()
+        for known in chosen:
+            rec.tried.append(known)
+            self._log.opening(
+                now_ms,
+                packet,
+                known,
+                observations.of(known.listing.name),
+                0 if self.routes is None else self.routes.version,
+            )
+            out += self._forward(known)
+        return out
 
-    def _candidates(
-        self, now_ms: int, service: str
-    ) -> list[directory_lib.Known]:
-        ready = [
+    def _ready(self, service: str) -> list[directory_lib.Known]:
+        """Return the servers of a service that take new flows."""
+        return [
             known
             for known in self.directory.of_service(service)
             if known.listing.state is directory_lib.ServerState.READY
             and not self.directory.is_ambiguous(known)
         ]
-        heard = [
-            known
-            for known in ready
-            if not self.observations.of(known.listing.name).is_silent(now_ms)
-        ]
-        return heard or ready
+
+    def _repeated(
+        self,
+        now_ms: int,
+        key: tracking.FlowKey,
+        known: directory_lib.Known,
+    ) -> None:
+        """Note a packet that a server has not answered."""
+        name = known.listing.name
+        if self.observations.of(name).repeated(now_ms, key):
+            self._log.server(now_ms, "server_silent", name)
+
+    def _answered(self, now_ms: int, name: str) -> None:
+        if self.observations.of(name).answered(now_ms):
+            self._log.server(now_ms, "server_heard", name)
 
     def _later(
         self, now_ms: int, packet: packet_lib.Packet
@@ -148,19 +193,55 @@
                 now_ms, "route_dropped", packet, self.routes.version
             )
             return effects.RESET
-        self._observe(now_ms, packet, known)
+        rec = self._observe(now_ms, packet, known)
+        if rec is not None and self._is_stuck(now_ms, packet, rec, known):
+            self.counters["flows_given_up"] += 1
+            self._log.flow(
+                now_ms,
+                "flow_given_up",
+                packet,
+                now_ms - self.observations.of(known.listing.name).answered_ms,
+            )
+            return effects.RESET
         return self._forward(known)
 
+    def _is_stuck(
+        self,
+        now_ms: int,
+        packet: packet_lib.Packet,
+        rec: tracking.FlowRecord,
+        known: directory_lib.Known,
+    ) -> bool:
+        """Return whether a reset lets the client go on sooner.
+
+        Only requests that may run again are worth a reset: the client does
+        not repeat others on a new flow. The server has to be lost, and
+        others of its service have to answer, as otherwise this process may
+        be the one that is cut off.
+        """
+        if not packet.length or rec.route is None or not rec.route.idempotent:
+            return False
+        seen = self.observations.of(known.listing.name)
+        lost = seen.is_lost(now_ms) or (
+            rec.silent >= STUCK_REPEATS
+            and now_ms - seen.answered_ms > STUCK_MS
+        )
+        return lost and any(
+            now_ms - self.observations.of(other.listing.name).answered_ms
+            < ALIVE_MS
+            for other in self._ready(known.listing.service)
+            if other is not known
+        )
+
     def _observe(
         self,
         now_ms: int,
         packet: packet_lib.Packet,
         known: directory_lib.Known,
-    ) -> None:
-        """Learn from a packet what its server did."""
+    ) -> tracking.FlowRecord | None:
+        """Learn from a packet what its server did; None when it ends."""
         key = tracking.key_of(packet)
         name = known.listing.name
-        seen = self.observations.of(name)
         rec = self._flows.get(key)
         if rec is None:
             route = None
@@ -171,34 +252,46 @@
         rec.last_ms = now_ms
         if rec.server is None:
             rec.server = known
-            seen.flows += 1
+            self.observations.of(name).flows += 1
             self._stop_waiting(rec)
-            seen.answered(now_ms)
+            if rec.tried:
+                # The client completes a handshake that began here.
+                self._answered(now_ms, name)
         if packet.flags & RST:
             self._end(rec)
             del self._flows[key]
-            return
+            return None
         if rec.acked is None:
             rec.acked = packet.ack
         elif tracking.is_after(packet.ack, rec.acked):
             rec.acked = packet.ack
             rec.silent = 0
-            seen.answered(now_ms)
+            self._answered(now_ms, name)
             self._stop_waiting(rec)
-        end = (packet.seq + packet.length) & 0xFFFFFFFF
         if packet.length:
-            if rec.high is None or tracking.is_after(end, rec.high):
-                rec.high = end
-                if rec.waiting is None:
-                    rec.requests += 1
-                    self._wait(now_ms, rec, name)
-            else:
-                rec.silent += 1
-                self.counters["packets_repeated"] += 1
-                if seen.repeated(now_ms, key):
-                    self._log.server(now_ms, "silent", name)
+            self._observe_data(now_ms, key, packet, rec, known)
         if packet.flags & FIN:
             self._stop_waiting(rec)
+        return rec
+
+    def _observe_data(
+        self,
+        now_ms: int,
+        key: tracking.FlowKey,
+        packet: packet_lib.Packet,
+        rec: tracking.FlowRecord,
+        known: directory_lib.Known,
+    ) -> None:
+        end = (packet.seq + packet.length) & 0xFFFFFFFF
+        if rec.high is None or tracking.is_after(end, rec.high):
+            rec.high = end
+            if rec.waiting is None:
+                rec.requests += 1
+                self._wait(now_ms, rec, known.listing.name)
+            return
+        rec.silent += 1
+        self.counters["packets_repeated"] += 1
+        self._repeated(now_ms, key, known)
 
     def _wait(self, now_ms: int, rec: tracking.FlowRecord, name: str) -> None:
         self._stop_waiting(rec)
--- a/src/cyclamenridge/flow/observed.py
+++ b/src/cyclamenridge/flow/observed.py
@@ -1,34 +1,43 @@
 """What this process has seen of each backend server."""
 
 import collections
+from collections.abc import Hashable
 from collections.abc import Iterable
 
-# Unanswered packets count as evidence against a server only when nothing
-# else came back from it for this long: a client repeats a lost packet
-# after 200 ms.
+# A client repeats a packet that was not acknowledged after 200 ms; until
+# then the lack of an answer says nothing.
 SILENT_MS = 250
-# Flows that must be unanswered before a server counts as silent. A single
-# one may have met a full queue.
+# Flows that must be unanswered before new flows avoid a server. A single
+# one may have met a full queue or a lost datagram.
 SILENT_FLOWS = 2
-# After this time one flow tries a silent server again.
-RETRY_MS = 2000
+# Flows that must be unanswered, and time without any answer, before a
+# server counts as lost and its flows are given up.
+LOST_FLOWS = 3
+LOST_MS = 400
+# Evidence older than this does not count any more.
+EVIDENCE_MS = 4000
+# After this time a silent server is tried again.
+RETRY_MS = 1000
 
 
 class Observed:
     """Load and silence of a server.
 
     :ivar waiting: requests and opening packets that wait for it
+    :ivar foreign: the same, as other balancers told
     :ivar flows: open flows
     :ivar answered_ms: when a client last acknowledged something of it
-    :ivar unanswered: flows with repeated packets since then
+    :ivar evidence_ms: when a packet was last repeated without an answer
+    :ivar retry_ms: when it may be tried again although it is silent
     """
 
     __slots__ = (
+        "_unanswered",
         "answered_ms",
+        "evidence_ms",
         "flows",
         "foreign",
         "retry_ms",
-        "unanswered",
         "waiting",
     )
 
@@ -36,36 +45,60 @@
         self.waiting = 0
         self.flows = 0
         self.foreign = 0.0
-        self.answered_ms = -SILENT_MS
-        self.unanswered: set[object] = set()
+        self.answered_ms = -EVIDENCE_MS
+        self.evidence_ms = -EVIDENCE_MS
         self.retry_ms = 0
+        self._unanswered: set[Hashable] = set()
 
-    def answered(self, now_ms: int) -> None:
-        """Note that the server answered."""
+    @property
+    def unanswered(self) -> int:
+        """Number of flows with repeated packets since the last answer."""
+        return len(self._unanswered)
+
+    def answered(self, now_ms: int) -> bool:
+        """Note an answer; return whether that ends a silence."""
+        ended = len(self._unanswered) >= SILENT_FLOWS
         self.answered_ms = now_ms
-        if self.unanswered:
-            self.unanswered.clear()
+        if self._unanswered:
+            self._unanswered.clear()
+        return ended
 
-    def repeated(self, now_ms: int, flow: object) -> bool:
-        """Note a repeated packet; return whether silence was news."""
+    def repeated(self, now_ms: int, flow: Hashable) -> bool:
+        """Note a repeated packet; return whether a silence begins."""
         if now_ms - self.answered_ms < SILENT_MS:
             return False
-        before = len(self.unanswered)
-        self.unanswered.add(flow)
-        if len(self.unanswered) < SILENT_FLOWS:
-            return False
-        if before < SILENT_FLOWS or now_ms >= self.retry_ms:
+        if now_ms - self.evidence_ms > EVIDENCE_MS:
+            self._unanswered.clear()
+        self.evidence_ms = now_ms
+        self._unanswered.add(flow)
+        begins = (
+            len(self._unanswered) >= SILENT_FLOWS and now_ms >= self.retry_ms
+        )
+        if begins:
             self.retry_ms = now_ms + RETRY_MS
-        return before < SILENT_FLOWS
+        return begins
 
     def is_silent(self, now_ms: int) -> bool:
         """Return whether new flows should avoid the server."""
-        return len(self.unanswered) >= SILENT_FLOWS and now_ms < self.retry_ms
-
-    def trial(self, now_ms: int) -> None:
-        """Note that a flow tries the server again."""
-        if len(self.unanswered) >= SILENT_FLOWS:
-            self.retry_ms = now_ms + RETRY_MS
+        return (
+            len(self._unanswered) >= SILENT_FLOWS
+            and now_ms - self.evidence_ms < EVIDENCE_MS
+        )
+
+    def is_lost(self, now_ms: int) -> bool:
+        """Return whether flows that wait for the server are given up."""
+        return (
+            len(self._unanswered) >= LOST_FLOWS
+            and now_ms - self.answered_ms >= LOST_MS
+            and now_ms - self.evidence_ms < EVIDENCE_MS
+        )
+
+    def try_again(self, now_ms: int) -> bool:
+        """Return whether a silent server may be tried by one more flow."""
+        if now_ms < self.retry_ms:
+            return False
+        self.retry_ms = now_ms + RETRY_MS
+        return True
 
 
 class Observations:
