Let balancers tell one another load, versions and who is there

Cause: nodes that the store turned away kept old servers and routes, and nodes chose servers without the load of the others. Ruled out: discovery through keys in the store, which costs writes and fails together with it; capnp, whose import takes as long as all of asyncio.

--- a/src/cyclamenridge/compose_flows.py
+++ b/src/cyclamenridge/compose_flows.py
@@ -7,18 +7,23 @@
 from cyclamenridge.adapters import http
 from cyclamenridge.adapters import jsonlog
 from cyclamenridge.adapters import udp
+import cyclamenridge.address as address_lib
 import cyclamenridge.clock as clock_lib
 import cyclamenridge.errors as errors
 from cyclamenridge.flow import choice
 from cyclamenridge.flow import core as core_lib
-from cyclamenridge.flow import settings as settings_lib
+from cyclamenridge.flow import peers as peers_lib
 import cyclamenridge.flow_app as flow_app
 import cyclamenridge.follower as follower
+import cyclamenridge.peer_link as peer_link
 from cyclamenridge.platform import packets
 from cyclamenridge.platform import records
 from cyclamenridge.platform import settings as settings_file
 from cyclamenridge.platform import store
 
+# A beacon fits one packet of the usual size on Ethernet.
+MAX_BEACON_BYTES = 1472
+
 
 def build(path: str) -> flow_app.FlowApplication:
     """Return the application; raises ConfigError."""
@@ -35,7 +40,9 @@
         core,
         settings=settings,
         clock=clock,
-        packets=_bind(settings, core),
+        packets=_bind(
+            settings.packets, "packet", packets.MAX_DATAGRAM_BYTES, core
+        ),
         codec=packets.EchoCodec(),
         log=log,
         reload=lambda: None,
@@ -53,6 +60,34 @@
             updated=application.updated,
         )
     )
+    peers = peers_lib.Peers(
+        core,
+        name=settings.name,
+        failure_domain=settings.failure_domain,
+        host=settings.ip,
+        seeds=tuple(seed.host for seed in settings.seeds),
+        rng=rng,
+    )
+    peer_address = address_lib.Address(settings.ip, settings.peer_ports[0])
+    application.add_component(
+        peer_link.PeerLink(
+            peers,
+            core,
+            port=peer_address.port,
+            beacons=_bind(peer_address, "beacon", MAX_BEACON_BYTES, core),
+            server=http.HttpServer(
+                peer_address,
+                lambda target: (
+                    http.Page(200, peers.snapshot(), "application/msgpack")
+                    if target == peer_link.SNAPSHOT_PATH
+                    else http.Page(404)
+                ),
+            ),
+            clock=clock,
+            log=log,
+            updated=application.updated,
+        )
+    )
     application.add_component(
         http.HttpServer(
             settings.ready,
@@ -63,16 +98,16 @@
 
 
 def _bind(
-    settings: settings_lib.FlowSettings, core: core_lib.FlowCore
+    address: address_lib.Address,
+    name: str,
+    max_bytes: int,
+    core: core_lib.FlowCore,
 ) -> udp.UdpDatagrams:
     try:
         return udp.UdpDatagrams(
-            settings.packets,
-            name="packet",
-            max_bytes=packets.MAX_DATAGRAM_BYTES,
-            counters=core.counters,
+            address, name=name, max_bytes=max_bytes, counters=core.counters
         )
     except OSError as exc:
         raise errors.ConfigError(
-            f"cannot bind {settings.packets}: {exc.strerror}"
+            f"cannot bind {address}: {exc.strerror}"
         ) from exc
--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -41,6 +41,8 @@
         self.directory = directory_lib.Directory()
         self.observations = observed_lib.Observations()
         self.routes: routes_lib.RouteTable | None = None
+        # When the store was heard last, on the monotonic clock.
+        self.store_heard_ms = 0
         self._chooser = chooser
         self._rng = rng
         self._log = log
--- a/src/cyclamenridge/flow/directory.py
+++ b/src/cyclamenridge/flow/directory.py
@@ -147,9 +147,13 @@
             for name, known in list(self._known.items())
             if name not in names and self.remove(now_ms, name, revision)
         ]
-        self.revision = max(self.revision, revision)
+        self.reached(revision)
         return put, removed
 
+    def reached(self, revision: int) -> None:
+        """Note that all changes up to a store revision are known."""
+        self.revision = max(self.revision, revision)
+
     def forget(self, now_ms: int) -> list[str]:
         """Drop servers that were removed long ago; return their names."""
         names = [
--- a/src/cyclamenridge/follower.py
+++ b/src/cyclamenridge/follower.py
@@ -42,7 +42,6 @@
         self._log = log
         self._updated = updated
         self._task: asyncio.Task[None] | None = None
-        self.heard_ms: int | None = None
         self._lost = False
 
     async def start(self) -> None:
@@ -61,17 +60,19 @@
     async def _run(self) -> None:
         limit_ms = _FIRST_PAUSE_MS
         stale = True
+        gap = True
         while True:
             try:
-                if self._core.directory.revision == 0:
+                if gap:
                     await self._read(stale=stale)
+                    gap = False
                     limit_ms = _FIRST_PAUSE_MS
                 await self._watch()
             except store_port.WatchLostError as exc:
                 self._fail("store_history_lost", exc)
                 # Only a read that is current may follow a gap.
                 stale = False
-                self._core.directory.revision = 0
+                gap = True
             except errors.StoreError as exc:
                 self._fail("store_lost", exc)
             await asyncio.sleep(
@@ -115,7 +116,7 @@
             now_ms = self._clock.now_ms()
             for change in batch.changes:
                 self._change(now_ms, change)
-            self._core.directory.revision = batch.revision
+            self._core.directory.reached(batch.revision)
             if batch.changes:
                 self._updated()
                 await asyncio.sleep(GATHER_MS / 1000)
@@ -175,7 +176,7 @@
             )
 
     def _heard(self) -> None:
-        self.heard_ms = self._clock.now_ms()
+        self._core.store_heard_ms = self._clock.now_ms()
         if self._lost:
             self._lost = False
             self._log.process("store_regained")
--- /dev/null
+++ b/src/cyclamenridge/peer_link.py
@@ -0,0 +1,126 @@
+"""Carries beacons and snapshots between balancers."""
+
+import asyncio
+from collections.abc import Callable
+
+from cyclamenridge import address as address_lib
+from cyclamenridge import clock as clock_lib
+from cyclamenridge.adapters import http
+import cyclamenridge.errors as errors
+from cyclamenridge.flow import core as core_lib
+from cyclamenridge.flow import log as log_port
+from cyclamenridge.flow import peers as peers_lib
+from cyclamenridge.ports import component
+from cyclamenridge.ports import datagrams
+
+SNAPSHOT_PATH = "/snapshot"
+_CONNECT_MS = 500
+_PULL_MS = 1500
+
+
+class PeerLink(component.Component):
+    """Sends and receives beacons; fetches snapshots from peers."""
+
+    def __init__(
+        self,
+        peers: peers_lib.Peers,
+        core: core_lib.FlowCore,
+        *,
+        port: int,
+        beacons: datagrams.Datagrams,
+        server: http.HttpServer,
+        clock: clock_lib.Clock,
+        log: log_port.FlowLog,
+        updated: Callable[[], None],
+    ) -> None:
+        self._peers = peers
+        self._core = core
+        self._port = port
+        self._beacons = beacons
+        self._server = server
+        self._clock = clock
+        self._log = log
+        self._updated = updated
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Ask the seeds, then send beacons."""
+        await self._server.start()
+        self._beacons.open(self._received)
+        self._spawn(self._send())
+
+    async def stop(self) -> None:
+        """End all exchanges."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._beacons.close()
+        await self._server.stop()
+
+    def _spawn(self, coro: "asyncio.Future[None] | object") -> None:
+        task = asyncio.get_running_loop().create_task(coro)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _send(self) -> None:
+        while True:
+            asks = not self._core.serving
+            targets = self._peers.targets(self._clock.now_ms())
+            if targets:
+                data = self._peers.beacon(asks=asks)
+                for host in targets:
+                    self._send_to(host, data)
+            await asyncio.sleep(peers_lib.BEACON_MS / 1000)
+
+    def _send_to(self, host: str, data: bytes) -> None:
+        self._core.counters["beacon_bytes_sent"] += len(data)
+        self._beacons.send(address_lib.Address(host, self._port), data)
+
+    def _received(self, source: address_lib.Address, data: bytes) -> None:
+        now_ms = self._clock.now_ms()
+        try:
+            action = self._peers.received(
+                now_ms,
+                source.host,
+                data,
+                store_silent_ms=now_ms - self._core.store_heard_ms,
+            )
+        except errors.ControlError as exc:
+            self._core.counters["beacons_malformed"] += 1
+            self._log.process("beacon_refused", error=str(exc))
+            return
+        if action.reply:
+            self._send_to(source.host, self._peers.beacon())
+        if action.pull:
+            self._spawn(self._pull(source.host))
+
+    async def _pull(self, host: str) -> None:
+        client = http.HttpClient(address_lib.Address(host, self._port))
+        try:
+            answer = await client.request(
+                "GET",
+                SNAPSHOT_PATH,
+                timeout_ms=_PULL_MS,
+                connect_ms=_CONNECT_MS,
+            )
+            if answer.status == 200 and self._peers.apply(
+                self._clock.now_ms(), answer.body
+            ):
+                routes = self._core.routes
+                self._log.process(
+                    "snapshot_taken",
+                    peer=host,
+                    config=0 if routes is None else routes.version,
+                    revision=self._core.directory.revision,
+                )
+                self._updated()
+        except (
+            http.ConnectError,
+            http.NoAnswerError,
+            errors.ControlError,
+        ) as exc:
+            self._core.counters["snapshots_failed"] += 1
+            self._log.process("snapshot_failed", peer=host, error=str(exc))
+        finally:
+            client.close()
