--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -21,9 +21,9 @@
 # Entries of a beacon, so that it fits one datagram.
 MAX_LOADS = 24
 MAX_MEMBERS = 6
-# A snapshot is fetched from a peer only when the store has been silent for
-# longer than a change takes to arrive from it.
-STORE_SILENT_MS = 900
+# A snapshot is fetched from a peer that has been ahead for longer than a
+# change takes to arrive from the store.
+BEHIND_MS = 700
 PULL_MS = 500
 
 
@@ -115,6 +115,9 @@
         self._named: dict[str, int] = {}
         self._seed_ms = 0
         self._pull_ms = 0
+        # What was in force here when a peer was first seen ahead of it.
+        self._behind: tuple[int, int] | None = None
+        self._behind_ms = 0
 
     def __len__(self) -> int:
         return len(self._peers)
@@ -174,12 +177,9 @@
             )
         )
 
-    def received(
-        self, now_ms: int, host: str, data: bytes, *, store_silent_ms: int
-    ) -> Action:
+    def received(self, now_ms: int, host: str, data: bytes) -> Action:
         """Take a beacon of the balancer at ``host``.
 
-        :param store_silent_ms: time since the store was heard here
         :raises ControlError: when the datagram is no beacon
         """
         try:
@@ -197,19 +197,23 @@
         for member in beacon.members[:MAX_MEMBERS]:
             if member != self._host and member not in self._peers:
                 self._named[member] = now_ms
-        behind = (
-            beacon.version > self._version
-            or beacon.revision > self._core.directory.revision
-        )
-        pull = (
-            behind
-            and (store_silent_ms > STORE_SILENT_MS or not self._core.serving)
-            and now_ms >= self._pull_ms
-        )
+        pull = self._is_behind(now_ms, beacon) and now_ms >= self._pull_ms
         if pull:
             self._pull_ms = now_ms + PULL_MS
         return Action(reply=beacon.asks or is_new, pull=pull)
 
+    def _is_behind(self, now_ms: int, beacon: Beacon) -> bool:
+        """Return whether the store has failed to tell what a peer knows."""
+        mine = self._version, self._core.directory.revision
+        if beacon.version <= mine[0] and beacon.revision <= mine[1]:
+            return False
+        if not self._core.serving:
+            return True
+        if mine != self._behind:
+            self._behind = mine
+            self._behind_ms = now_ms
+        return now_ms - self._behind_ms >= BEHIND_MS
+
     def snapshot(self) -> bytes:
         """Return what this process knows, for a peer that asks."""
         directory = self._core.directory
--- a/src/cyclamenridge/peer_link.py
+++ b/src/cyclamenridge/peer_link.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections.abc import Callable
 
-from cyclamenridge import address as address_lib
-from cyclamenridge import clock as clock_lib
 from cyclamenridge.adapters import http
+import cyclamenridge.address as address_lib
+import cyclamenridge.clock as clock_lib
 import cyclamenridge.errors as errors
 from cyclamenridge.flow import core as core_lib
 from cyclamenridge.flow import log as log_port
@@ -80,12 +80,7 @@
     def _received(self, source: address_lib.Address, data: bytes) -> None:
         now_ms = self._clock.now_ms()
         try:
-            action = self._peers.received(
-                now_ms,
-                source.host,
-                data,
-                store_silent_ms=now_ms - self._core.store_heard_ms,
-            )
+            action = self._peers.received(now_ms, source.host, data)
         except errors.ControlError as exc:
             self._core.counters["beacons_malformed"] += 1
             self._log.process("beacon_refused", error=str(exc))
--- a/src/cyclamenridge/platform/store.py
+++ b/src/cyclamenridge/platform/store.py
@@ -14,8 +14,11 @@
 
 CONNECT_MS = 1000
 CALL_MS = 2500
-# The store lets a watch wait for at most 30 s.
-WATCH_WAIT_MS = 10_000
+# A watch whose connection has gone silent must be noticed before a change
+# made after an outage is overdue: configurations are due 3 s after the store
+# took them, and are not judged in the 4 s after the outage.
+WATCH_WAIT_MS = 3000
+WATCH_MARGIN_MS = 1000
 _MAX_PAGES = 1000
 
 _T = TypeVar("_T")
@@ -176,7 +179,7 @@
                     client,
                     "GET",
                     f"/kv-watch?{query}",
-                    timeout_ms=self._watch_wait_ms + CALL_MS,
+                    timeout_ms=self._watch_wait_ms + WATCH_MARGIN_MS,
                 )
                 if answer.status == 410:
                     raise store.WatchLostError(
