Reset flows only on evidence that losses cannot imitate

Ruled out: slow servers, which still acknowledge packets. Change: a failure domain counts as cut off when its balancers are silent and its servers do not answer; a single server when it alone has repeated packets.

--- a/src/cyclamenridge/compose_flows.py
+++ b/src/cyclamenridge/compose_flows.py
@@ -32,6 +32,7 @@
     rng = random.Random(os.urandom(8))
     log = jsonlog.JsonLog(sys.stdout.fileno(), node=settings.name)
     core = core_lib.FlowCore(
+        failure_domain=settings.failure_domain,
         chooser=choice.LeastLoaded(settings.failure_domain, rng),
         rng=rng,
         log=log,
--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -9,6 +9,7 @@
 from cyclamenridge.flow import log as log_port
 from cyclamenridge.flow import observed as observed_lib
 from cyclamenridge.flow import packet as packet_lib
+from cyclamenridge.flow import reach as reach_lib
 from cyclamenridge.flow import routes as routes_lib
 from cyclamenridge.flow import tracking
 
@@ -19,10 +20,6 @@
 # A client gives up opening a flow after 1.4 s.
 OPENING_MS = 1500
 SWEEP_MS = 500
-# Repeats of a packet of one flow, and time without any answer of its server,
-# after which the flow alone shows that the server is lost.
-STUCK_REPEATS = 3
-STUCK_MS = 1200
 # A server that answered within this time is reached from here.
 ALIVE_MS = 600
 
@@ -33,6 +30,7 @@
     def __init__(
         self,
         *,
+        failure_domain: str,
         chooser: choice.Chooser,
         rng: random.Random,
         log: log_port.FlowLog,
@@ -40,6 +38,7 @@
         self.counters: collections.Counter[str] = collections.Counter()
         self.directory = directory_lib.Directory()
         self.observations = observed_lib.Observations()
+        self.reach = reach_lib.Reach(failure_domain)
         self.routes: routes_lib.RouteTable | None = None
         # When the store was heard last, on the monotonic clock.
         self.store_heard_ms = 0
@@ -126,7 +125,10 @@
         silent = []
         for known in ready:
             seen = observations.of(known.listing.name)
-            (silent if seen.is_silent(now_ms) else heard).append(known)
+            avoid = seen.is_silent(now_ms) or self.reach.is_cut(
+                now_ms, known.listing.failure_domain
+            )
+            (silent if avoid else heard).append(known)
         fresh = [known for known in heard if known not in rec.tried]
         known = self._chooser.choose(
             now_ms, fresh or heard or ready, observations
@@ -172,10 +174,13 @@
     ) -> None:
         """Note a packet that a server has not answered."""
         name = known.listing.name
+        self.reach.repeated(known.listing.failure_domain, key)
         if self.observations.of(name).repeated(now_ms, key):
             self._log.server(now_ms, "server_silent", name)
 
-    def _answered(self, now_ms: int, name: str) -> None:
+    def _answered(self, now_ms: int, known: directory_lib.Known) -> None:
+        name = known.listing.name
+        self.reach.answered(now_ms, known.listing.failure_domain)
         if self.observations.of(name).answered(now_ms):
             self._log.server(now_ms, "server_heard", name)
 
@@ -217,18 +222,28 @@
         """Return whether a reset lets the client go on sooner.
 
         Only requests that may run again are worth a reset: the client does
-        not repeat others on a new flow. The server has to be lost, and
-        others of its service have to answer, as otherwise this process may
-        be the one that is cut off.
+        not repeat others on a new flow. A server counts as lost when its
+        failure domain is cut off, or when it alone does not answer: a full
+        link, or a cut of this machine, would show at other servers too.
         """
         if not packet.length or rec.route is None or not rec.route.idempotent:
             return False
+        if self.reach.is_cut(now_ms, known.listing.failure_domain):
+            return self._others_answer(now_ms, known)
         seen = self.observations.of(known.listing.name)
-        lost = seen.is_lost(now_ms) or (
-            rec.silent >= STUCK_REPEATS
-            and now_ms - seen.answered_ms > STUCK_MS
+        return (
+            rec.silent > 0
+            and seen.is_lost(now_ms)
+            and self._others_answer(now_ms, known)
+            and not any(
+                other is not seen and other.has_evidence(now_ms)
+                for _, other in self.observations.items()
+            )
         )
-        return lost and any(
+
+    def _others_answer(self, now_ms: int, known: directory_lib.Known) -> bool:
+        """Return whether another server of the service answered just now."""
+        return any(
             now_ms - self.observations.of(other.listing.name).answered_ms
             < ALIVE_MS
             for other in self._ready(known.listing.service)
@@ -258,7 +273,7 @@
             self._stop_waiting(rec)
             if rec.tried:
                 # The client completes a handshake that began here.
-                self._answered(now_ms, name)
+                self._answered(now_ms, known)
         if packet.flags & RST:
             self._end(rec)
             del self._flows[key]
@@ -268,7 +283,7 @@
         elif tracking.is_after(packet.ack, rec.acked):
             rec.acked = packet.ack
             rec.silent = 0
-            self._answered(now_ms, name)
+            self._answered(now_ms, known)
             self._stop_waiting(rec)
         if packet.length:
             self._observe_data(now_ms, key, packet, rec, known)
--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -193,6 +193,7 @@
         peer.name = beacon.name
         peer.failure_domain = beacon.failure_domain
         peer.heard_ms = now_ms
+        self._core.reach.beacon(now_ms, beacon.failure_domain)
         self._set_loads(peer, beacon.loads)
         for member in beacon.members[:MAX_MEMBERS]:
             if member != self._host and member not in self._peers:
--- /dev/null
+++ b/src/cyclamenridge/flow/reach.py
@@ -0,0 +1,61 @@
+"""Which failure domains this process reaches."""
+
+import collections
+from collections.abc import Hashable
+
+# Beacons of a domain's balancers arrive several times in this time.
+BEACON_SILENT_MS = 700
+# Without an answer of any server of a domain for this long, repeated packets
+# to its servers are evidence that the domain is cut off. A client repeats
+# after 200 ms, a request takes some 40 ms.
+ANSWER_SILENT_MS = 400
+# Flows whose packets were repeated since the last answer of the domain.
+UNANSWERED_FLOWS = 2
+
+
+class _Domain:
+    __slots__ = ("answered_ms", "beacon_ms", "unanswered")
+
+    def __init__(self) -> None:
+        self.beacon_ms: int | None = None
+        self.answered_ms = 0
+        self.unanswered: set[Hashable] = set()
+
+
+class Reach:
+    """Evidence from beacons and from packets, by failure domain.
+
+    Neither is enough alone: the balancers of a domain may have died while
+    its servers live, and a full link loses packets to all domains.
+    """
+
+    def __init__(self, failure_domain: str) -> None:
+        self._failure_domain = failure_domain
+        self._domains: dict[str, _Domain] = collections.defaultdict(_Domain)
+
+    def beacon(self, now_ms: int, domain: str) -> None:
+        """Note a beacon of a balancer of a domain."""
+        self._domains[domain].beacon_ms = now_ms
+
+    def answered(self, now_ms: int, domain: str) -> None:
+        """Note an answer of a server of a domain."""
+        found = self._domains[domain]
+        found.answered_ms = now_ms
+        if found.unanswered:
+            found.unanswered.clear()
+
+    def repeated(self, domain: str, flow: Hashable) -> None:
+        """Note a packet to a server of a domain that was repeated."""
+        self._domains[domain].unanswered.add(flow)
+
+    def is_cut(self, now_ms: int, domain: str) -> bool:
+        """Return whether a domain is cut off from this process."""
+        found = self._domains.get(domain)
+        return (
+            found is not None
+            and domain != self._failure_domain
+            and found.beacon_ms is not None
+            and now_ms - found.beacon_ms >= BEACON_SILENT_MS
+            and now_ms - found.answered_ms >= ANSWER_SILENT_MS
+            and len(found.unanswered) >= UNANSWERED_FLOWS
+        )
