--- a/src/cyclamenridge/adapters/jsonlog.py
+++ b/src/cyclamenridge/adapters/jsonlog.py
@@ -103,7 +103,7 @@
         if second != self._second:
             self._second = second
             self._written.clear()
-            if self._left_out:
+            if self._left_out and len(self._pending) <= MAX_PENDING_BYTES:
                 left_out, self._left_out = self._left_out, {}
                 self._write("lines_left_out", counts=left_out)
         count = self._written.get(event, 0)
--- /dev/null
+++ b/tests/adapters/test_jsonlog.py
@@ -0,0 +1,102 @@
+import json
+import os
+
+from cyclamenridge.adapters import jsonlog
+from cyclamenridge.flow import observed
+from cyclamenridge.flow import packet as packet_lib
+from tests.flow import world
+
+PACKET = packet_lib.Packet(1, 2, 3, 4, 1, 5, 0, 0, 0)
+
+
+def make():
+    reader, writer = os.pipe()
+    return reader, jsonlog.JsonLog(writer, node="n")
+
+
+def read(reader):
+    os.set_blocking(reader, False)
+    data = b""
+    while True:
+        try:
+            part = os.read(reader, 1 << 20)
+        except BlockingIOError:
+            return [json.loads(line) for line in data.splitlines()]
+        if not part:
+            return [json.loads(line) for line in data.splitlines()]
+        data += part
+
+
+def test_an_opening_line_holds_what_decided():
+    reader, log = make()
+    known = world.make_core(world.listing(1)).directory.get("i-00000001")
+    seen = observed.Observed()
+    seen.waiting = 2
+    log.opening(100, PACKET, known, seen, 7)
+    log.flush()
+    (line,) = read(reader)
+    assert line["event"] == "flow_opening"
+    assert line["flow"] == "0.0.0.1:2>0.0.0.3:4"
+    assert (line["server"], line["waiting"], line["config"]) == (
+        "i-00000001",
+        2,
+        7,
+    )
+    assert line["server_revision"] == 11
+
+
+def test_a_flood_is_bounded_per_kind_and_second_and_counted():
+    """Logs of a flood must not take the processor from its packets."""
+    reader, log = make()
+    for number in range(5000):
+        log.flow(10_000 + number // 10, "no_route", PACKET, 1)
+    log.server(10_500, "server_silent", "i-1")
+    log.flow(11_000, "no_route", PACKET, 1)
+    log.flush()
+    lines = read(reader)
+    assert len(lines) == jsonlog.LINES_PER_SECOND + 3
+    left_out = [line for line in lines if line["event"] == "lines_left_out"]
+    assert left_out[0]["counts"] == {
+        "no_route": 5000 - jsonlog.LINES_PER_SECOND
+    }
+
+
+def test_a_reader_that_stopped_costs_lines_and_neither_time_nor_memory():
+    reader, log = make()
+    for second in range(5000):
+        for number in range(jsonlog.LINES_PER_SECOND):
+            log.flow(second * 1000, "no_route", PACKET, number)
+        log.flush()
+    assert log.lines_left_out > 0
+    assert len(log._pending) < 2 * jsonlog.MAX_PENDING_BYTES
+    before = len(read(reader))
+    log.flush()
+    assert before + len(read(reader)) > 100
+
+
+def test_a_closed_reader_is_no_error():
+    reader, log = make()
+    os.close(reader)
+    log.process("started")
+    log.flush()
+
+
+def test_hostile_bytes_stay_within_one_line():
+    reader, log = make()
+    log.process("entry_refused", key='a\n{"event":"x"}\x00', error="\r\n")
+    log.flush()
+    (line,) = read(reader)
+    assert line["event"] == "entry_refused"
+
+
+def test_lines_that_a_pipe_took_in_part_are_not_torn():
+    reader, log = make()
+    count = 50 * jsonlog.LINES_PER_SECOND
+    for second in range(50):
+        for number in range(jsonlog.LINES_PER_SECOND):
+            log.flow(second * 1000, "no_route", PACKET, number)
+    data = b""
+    while log._pending:
+        log.flush()
+        data += os.read(reader, 1 << 20)
+    assert len([json.loads(line) for line in data.splitlines()]) == count
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,134 @@
+import contextlib
+import json
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from cyclamenridge import errors
+from cyclamenridge.flow import directory
+from cyclamenridge.platform import records
+
+RECORDS = records.PlatformRecords()
+SERVER = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "qld-bne",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "sequence": 4,
+    "born": 1784603008023,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "198.18.0.1",
+            "prefix": "/8080/",
+            "type": "unsafe",
+            "timeout_ms": 3000,
+            "target_latency_ms": 200,
+            "priority": 1,
+            "service": "huvo11a",
+        },
+        {
+            "name": "r-2",
+            "host": "198.18.0.1",
+            "prefix": "/8443/",
+            "type": "safe",
+            "timeout_ms": 2500,
+            "target_latency_ms": 150,
+            "priority": 2,
+            "weighted_targets": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "wuno96b", "weight": 10},
+            ],
+        },
+    ],
+    "services": [{"name": "huvo11a"}, {"name": "wuno96b"}],
+    "limits": {"idle_timeout_ms": 15000},
+}
+
+
+def test_a_server_is_named_by_the_hex_digits_of_its_id():
+    got = RECORDS.decode_server(
+        "servers/i-7f3a91c2", json.dumps(SERVER).encode(), 9
+    )
+    assert got.ident == 0x7F3A91C2
+    assert got.state is directory.ServerState.READY
+    assert got.revision == 9
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"state": None},
+        {"address": "somewhere"},
+        {"address": 5},
+        {"slots": "2"},
+        {"slots": 0},
+        {"slots": True},
+        {"service": ["x"]},
+        {"warmup_left_ms": None},
+        {"born": "yesterday"},
+    ],
+)
+def test_an_entry_of_a_strange_writer_names_no_server(change):
+    value = json.dumps({**SERVER, **change}).encode()
+    with pytest.raises(errors.StoreError):
+        RECORDS.decode_server("servers/i-7f3a91c2", value, 1)
+
+
+@pytest.mark.parametrize("field", ["service", "address", "slots", "state"])
+def test_an_entry_without_a_field_names_no_server(field):
+    value = dict(SERVER)
+    del value[field]
+    with pytest.raises(errors.StoreError):
+        RECORDS.decode_server("servers/i-1", json.dumps(value).encode(), 1)
+
+
+@pytest.mark.parametrize("key", ["servers/", "servers/xyz", "servers/i-0"])
+def test_an_id_without_a_number_names_no_server(key):
+    with pytest.raises(errors.StoreError):
+        RECORDS.decode_server(key, json.dumps(SERVER).encode(), 1)
+
+
+@hypothesis.given(strategies.binary(max_size=60))
+def test_any_bytes_are_refused_or_read(value):
+    """An unreadable entry must not stop the process."""
+    for read in (
+        lambda: RECORDS.decode_server("servers/i-1", value, 1),
+        lambda: RECORDS.decode_config(value),
+    ):
+        with contextlib.suppress(errors.StoreError, errors.ConfigError):
+            read()
+
+
+def test_a_configuration_is_read_whole():
+    table = RECORDS.decode_config(json.dumps(CONFIG).encode())
+    assert table.version == 7
+    assert table.idle_ms == 15000
+    push = table.find(0xC6120001, 8080)
+    feed = table.find(0xC6120001, 8443)
+    assert not push.idempotent and feed.idempotent
+    assert [target.weight for target in feed.targets] == [90, 10]
+    assert table.find(0xC6120001, 1) is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"host": "nowhere"},
+        {"prefix": "/https/"},
+        {"service": None},
+        {"timeout_ms": "long"},
+    ],
+)
+def test_a_configuration_that_cannot_be_used_is_refused_whole(change):
+    value = {**CONFIG, "routes": [{**CONFIG["routes"][0], **change}]}
+    with pytest.raises(errors.ConfigError):
+        RECORDS.decode_config(json.dumps(value).encode())
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,92 @@
+import json
+
+import pytest
+
+from cyclamenridge import address as address_lib
+from cyclamenridge import errors
+from cyclamenridge.platform import settings
+
+TOML = """
+node_name = "front-qld-bne-1"
+ip = "10.1.0.10"
+zone = "qld-bne"
+internal_ports = [7720,7735]
+seed_nodes = ["10.1.0.10:8166","10.2.0.40:8166"]
+discovery = "platform"
+heartbeat_ms = 1200
+forwarding_mode = "echo"
+some_new_field = { a = 1 }
+[listen_addrs]
+datagram_addr = "10.1.0.10:8172"
+ready = "10.1.0.10:8167"
+control = "10.1.0.10:8166"
+[bounds]
+drain_ms = 3000
+grace_s = 6
+config_apply_ms = 3000
+recovery_s = 12
+max_flow_s = 60
+[platform]
+address = "10.200.1.7:8169"
+forwarding_mode = "kv"
+"""
+
+
+def load(tmp_path, text):
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    return settings.load(str(path))
+
+
+def test_the_platform_s_file_is_read_and_unknown_fields_are_ignored(tmp_path):
+    got = load(tmp_path, TOML)
+    assert got.packets == address_lib.Address("10.1.0.10", 8172)
+    assert got.failure_domain == "qld-bne"
+    assert got.stop_ms == 6000
+    assert got.max_flow_ms == 60_000
+    assert got.peer_ports == (7720, 7735)
+    assert [seed.port for seed in got.seeds] == [8166, 8166]
+
+
+def test_the_template_s_file_is_read(tmp_path):
+    import tomllib
+
+    text = json.dumps(
+        {"metrics_port": 9999, "platform_fields": tomllib.loads(TOML)}
+    )
+    got = load(tmp_path, text)
+    assert got.metrics_port == 9999
+    assert got.name == "front-qld-bne-1"
+
+
+def test_every_finding_is_told_at_once(tmp_path):
+    text = (
+        TOML.replace('"10.1.0.10:8172"', '"nowhere"')
+        .replace("grace_s = 6", "grace_s = -1")
+        .replace('zone = "qld-bne"', "")
+        .replace("[7720,7735]", "[9, 3]")
+        .replace('"echo"', '"mirror"')
+    )
+    with pytest.raises(errors.ConfigError) as info:
+        load(tmp_path, text)
+    lines = str(info.value).splitlines()
+    assert len(lines) == 5
+    for field in (
+        "listen_addrs.datagram_addr",
+        "bounds.grace_s",
+        "zone: expected a text, found nothing",
+        "internal_ports",
+        "forwarding_mode",
+    ):
+        assert any(field in line for line in lines), field
+
+
+@pytest.mark.parametrize("text", ["= 5", "{", "[1]", "{}", "\x00"])
+def test_a_file_that_cannot_be_read_is_a_settings_error(tmp_path, text):
+    with pytest.raises(errors.ConfigError):
+        load(tmp_path, text)
+
+
+def test_a_missing_file_is_a_settings_error(tmp_path):
+    with pytest.raises(errors.ConfigError):
+        settings.load(str(tmp_path / "none.toml"))
