--- a/tests/adapters/test_http.py
+++ b/tests/adapters/test_http.py
@@ -43,6 +43,21 @@
     asyncio.run(run())
 
 
+def test_a_caller_that_asks_for_it_is_disconnected_after_the_answer():
+    async def run():
+        async with serving(page) as (server, _):
+            reader, writer = await asyncio.open_connection(
+                *server.address.as_tuple()
+            )
+            writer.write(b"GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n")
+            data = await asyncio.wait_for(reader.read(), 2)
+            assert data.startswith(b"HTTP/1.1 200 OK")
+            assert b"Connection: close" in data
+            writer.close()
+
+    asyncio.run(run())
+
+
 def test_a_connection_that_the_server_closed_is_opened_again():
     async def run():
         async with serving(page) as (server, client):
--- /dev/null
+++ b/tests/platform/deployment.py
@@ -0,0 +1,245 @@
+"""Real balancer processes on loopback with stand-ins around them."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+
+from tests.standins import flow_ends
+from tests.standins import metadata_store
+
+ROOT = pathlib.Path(__file__).parents[2]
+HOST = "198.18.0.1"
+HOST_NUMBER = 0xC6120001
+FEED_PORT = 8443
+DUMP_PORT = 9000
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class Balancer:
+    """A process with its own loopback address, as machines have."""
+
+    def __init__(self, deployment, number, folder):
+        self.name = f"front-{number}"
+        self.ip = f"127.0.{os.getpid() % 200 + 20}.{number}"
+        self.packets = (self.ip, deployment.clients.port)
+        self.ready_port = deployment.ready_port
+        self.metrics_port = deployment.metrics_port
+        self.settings = folder / f"{self.name}.json"
+        self.log = folder / f"{self.name}.log"
+        self.process = None
+        fields = {
+            "node_name": self.name,
+            "ip": self.ip,
+            "zone": f"z{number % 2}",
+            "internal_ports": [
+                deployment.peer_port,
+                deployment.peer_port,
+            ],
+            "seed_nodes": [f"{deployment.seed_ip or self.ip}:1"],
+            "discovery": "platform",
+            "heartbeat_ms": 1200,
+            "forwarding_mode": "echo",
+            "listen_addrs": {
+                "datagram_addr": f"{self.ip}:{deployment.clients.port}",
+                "ready": f"{self.ip}:{self.ready_port}",
+            },
+            "bounds": {
+                "drain_ms": 3000,
+                "grace_s": 6,
+                "config_apply_ms": 3000,
+                "recovery_s": 12,
+                "max_flow_s": 60,
+            },
+            "platform": {
+                "address": f"127.0.0.1:{deployment.store_port}",
+                "forwarding_mode": "kv",
+            },
+        }
+        self.settings.write_text(
+            json.dumps(
+                {
+                    "metrics_port": self.metrics_port,
+                    "platform_fields": fields,
+                }
+            )
+        )
+
+    def start(self):
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-P", str(ROOT / "deploy/balancer.py")],
+                stdout=log,
+                stderr=log,
+                env={
+                    **os.environ,
+                    "PYTHONPATH": str(ROOT / "src"),
+                    "CYCLAMENRIDGE_CONFIG": str(self.settings),
+                },
+            )
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def kill(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        if self.process is not None:
+            self.process.wait()
+
+    async def get(self, port, path):
+        """Return status and body of a page, 0 without an answer."""
+        try:
+            async with asyncio.timeout(1):
+                reader, writer = await asyncio.open_connection(self.ip, port)
+                head = f"GET {path} HTTP/1.1\r\nConnection: close\r\n\r\n"
+                writer.write(head.encode())
+                data = await reader.read()
+                writer.close()
+        except (OSError, TimeoutError):
+            return 0, b""
+        head, _, body = data.partition(b"\r\n\r\n")
+        return int(head.split()[1]), body
+
+    async def ready(self):
+        return (await self.get(self.ready_port, "/ready"))[0] == 200
+
+    def events(self):
+        """Return the lines of the log that have been written."""
+        lines = self.log.read_bytes().splitlines()
+        return [json.loads(line) for line in lines if line[:1] == b"{"]
+
+
+class Deployment:
+    """Store, servers, clients and balancers of one test."""
+
+    def __init__(self, seed=1):
+        self.rng = random.Random(seed)
+        self.clients = flow_ends.Clients()
+        self.store = metadata_store.MetadataStore()
+        self.servers = {}
+        self.balancers = []
+        self.version = 0
+        self.store_port = 0
+        self.seed_ip = None
+        self.ready_port = free_port()
+        self.metrics_port = free_port()
+        self.peer_port = free_port()
+        self._client_ports = itertools.count(20_000)
+        self._idents = itertools.count(0x1000)
+
+    def configure(self, **routes):
+        """Write a configuration: service by name of the route."""
+        self.version += 2
+        ports = {"feed": FEED_PORT, "dump": DUMP_PORT}
+        value = {
+            "version": self.version,
+            "routes": [
+                {
+                    "name": name,
+                    "host": HOST,
+                    "prefix": f"/{ports[name]}/",
+                    "type": "safe" if name == "feed" else "upload",
+                    "timeout_ms": 2500,
+                    "target_latency_ms": 150,
+                    "priority": 1,
+                    "service": service,
+                }
+                for name, service in routes.items()
+            ],
+            "services": [{"name": "counter"}, {"name": "workshop"}],
+            "limits": {"idle_timeout_ms": 15_000},
+        }
+        self.store.put("op/config", json.dumps(value).encode())
+
+    async def add_server(self, service="counter", zone="z0"):
+        server = flow_ends.Server(next(self._idents), self.clients)
+        server.port = await server.start()
+        server.service, server.zone = service, zone
+        self.servers[server.ident] = server
+        self.report(server)
+        return server
+
+    def report(self, server, state="ready"):
+        entry = {
+            "service": server.service,
+            "address": f"127.0.0.1:{server.port}",
+            "zone": server.zone,
+            "slots": 2,
+            "state": state,
+            "warmup_left_ms": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        self.store.put(
+            f"servers/i-{server.ident:x}", json.dumps(entry).encode()
+        )
+
+    def add_balancer(self, folder):
+        balancer = Balancer(self, len(self.balancers) + 1, folder)
+        if self.seed_ip is None:
+            self.seed_ip = balancer.ip
+        self.balancers.append(balancer)
+        return balancer
+
+    def flow(self, port=FEED_PORT, balancers=None):
+        """Return a flow whose packets go to balancers at random."""
+        chosen = self.balancers if balancers is None else balancers
+        return flow_ends.ClientFlow(
+            self.clients,
+            lambda: [balancer.packets for balancer in chosen],
+            self.rng,
+            HOST_NUMBER,
+            port,
+            next(self._client_ports),
+        )
+
+
+async def until(check, wait_s=10):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(wait_s):
+        while True:
+            got = check()
+            if asyncio.iscoroutine(got):
+                got = await got
+            if got:
+                return
+            await asyncio.sleep(0.02)
+
+
+@contextlib.asynccontextmanager
+async def deployed(folder, *, balancers=2, servers=3, seed=1):
+    """Start a deployment and end each of its processes."""
+    found = Deployment(seed)
+    await found.clients.start()
+    found.store_port = await found.store.start()
+    found.configure(feed="counter", dump="workshop")
+    for _ in range(servers):
+        await found.add_server()
+    await found.add_server("workshop")
+    try:
+        for _ in range(balancers):
+            found.add_balancer(folder).start()
+        for balancer in found.balancers:
+            await until(balancer.ready)
+        yield found
+    finally:
+        for balancer in found.balancers:
+            balancer.kill()
+        found.clients.close()
+        for server in found.servers.values():
+            server.close()
+        await found.store.stop()
