--- a/deploy/balancer.py
+++ b/deploy/balancer.py
@@ -7,6 +7,9 @@
 import os
 import sys
 
-from cyclamenridge import flow_main
+# asyncio works without TLS; importing it takes a tenth of the start.
+sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
+
+from cyclamenridge import flow_main  # noqa: E402
 
 sys.exit(flow_main.main(os.environ["CYCLAMENRIDGE_CONFIG"]))
--- a/src/cyclamenridge/cli/balancer.py
+++ b/src/cyclamenridge/cli/balancer.py
@@ -10,6 +10,7 @@
 import cyclamenridge.compose as compose
 from cyclamenridge.config import settings as settings_lib
 import cyclamenridge.errors as errors
+import cyclamenridge.flow_main as flow_main
 
 # 3 and 4 are the codes of a planned stop that was cut short.
 EXIT_SETTINGS = 2
@@ -18,11 +19,27 @@
 def balancer(
     *,
     settings: Annotated[
-        pathlib.Path, typer.Option(help="YAML file with the settings.")
-    ],
+        pathlib.Path | None, typer.Option(help="YAML file with the settings.")
+    ] = None,
+    platform_settings: Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            envvar="CYCLAMENRIDGE_CONFIG",
+            help="Settings file of the platform; forwards flows there.",
+        ),
+    ] = None,
     verbose: Annotated[bool, typer.Option(help="Log debug messages.")] = False,
 ) -> None:
     """Run a balancer until SIGTERM; a second signal ends it at once."""
+    if settings is None and platform_settings is not None:
+        raise typer.Exit(flow_main.main(str(platform_settings)))
+    if settings is None:
+        typer.echo(
+            "cyclamenridge balancer: --settings or --platform-settings "
+            "is needed",
+            err=True,
+        )
+        raise typer.Exit(EXIT_SETTINGS)
     logs.setup(verbose=verbose)
     try:
         application = compose.build(settings_lib.load(settings))
--- a/src/cyclamenridge/flow_main.py
+++ b/src/cyclamenridge/flow_main.py
@@ -1,14 +1,10 @@
 """Entry of the process that runs on the platform."""
 
+import asyncio
 import sys
 
-# asyncio works without TLS, and importing it takes a third of the start.
-sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
-
-import asyncio  # noqa: E402
-
-from cyclamenridge import compose_flows  # noqa: E402
-from cyclamenridge import errors  # noqa: E402
+from cyclamenridge import compose_flows
+from cyclamenridge import errors
 
 EXIT_SETTINGS = 2
 
--- a/src/cyclamenridge/run.py
+++ b/src/cyclamenridge/run.py
@@ -7,6 +7,7 @@
 from cyclamenridge.cli import balancer
 from cyclamenridge.cli import call
 from cyclamenridge.cli import config
+from cyclamenridge.cli import explain
 from cyclamenridge.cli import status
 
 app = typer.Typer(
@@ -36,6 +37,7 @@
 app.command()(status.dump)
 app.command()(status.drain)
 app.command()(call.call)
+app.command()(explain.explain)
 
 
 def main() -> None:
