--- a/src/cyclamenridge/adapters/jsonlog.py
+++ b/src/cyclamenridge/adapters/jsonlog.py
@@ -12,7 +12,7 @@
 from cyclamenridge.flow import packet as packet_lib
 
 # Lines of one kind that are written in a second; the rest is counted.
-LINES_PER_SECOND = 20
+LINES_PER_SECOND = 50
 # Lines that wait for a reader that does not read.
 MAX_PENDING_BYTES = 256 * 1024
 _SECOND_MS = 1000
--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -21,6 +21,9 @@
 # A client gives up opening a flow after 1.4 s.
 OPENING_MS = 1500
 SWEEP_MS = 500
+# Servers that are compared for an opening packet; more would cost more
+# processor time with the fleet and hardly find a freer one.
+CONSIDERED_SERVERS = 64
 # Requests that wait for each slot of every server of a service when copies of
 # opening packets are held: twice the work of an unloaded request is the least
 # that makes answers late on today's installations.
@@ -123,7 +126,9 @@
             if rec.tried
             else route.pick_service(self._rng)
         )
-        ready = self._ready(service)
+        ready = self.directory.ready_of(service)
+        if len(ready) > CONSIDERED_SERVERS:
+            ready = self._rng.sample(ready, CONSIDERED_SERVERS)
         if not ready:
             self.counters["flows_without_server"] += 1
             self._log.flow(
@@ -214,15 +219,6 @@
             out += self._forward(known)
         return out
 
-    def _ready(self, service: str) -> list[directory_lib.Known]:
-        """Return the servers of a service that take new flows."""
-        return [
-            known
-            for known in self.directory.of_service(service)
-            if known.listing.state is directory_lib.ServerState.READY
-            and not self.directory.is_ambiguous(known)
-        ]
-
     def _repeated(
         self,
         now_ms: int,
@@ -314,7 +310,7 @@
         return any(
             now_ms - self.observations.of(other.listing.name).answered_ms
             < ALIVE_MS
-            for other in self._ready(known.listing.service)
+            for other in self.directory.ready_of(known.listing.service)
             if other is not known
         )
 
--- a/src/cyclamenridge/flow/directory.py
+++ b/src/cyclamenridge/flow/directory.py
@@ -78,6 +78,7 @@
         self._known: dict[str, Known] = {}
         self._tokens: dict[int, Known] = {}
         self._services: dict[str, list[Known]] = {}
+        self._ready: dict[str, list[Known]] = {}
 
     def __iter__(self) -> Iterator[Known]:
         return iter(self._known.values())
@@ -97,6 +98,10 @@
         """Return the listed servers of a service."""
         return self._services.get(service, [])
 
+    def ready_of(self, service: str) -> list[Known]:
+        """Return the servers of a service that take new flows."""
+        return self._ready.get(service, [])
+
     def put(self, now_ms: int, listing: Listing) -> bool:
         """Take an entry; return whether it was news."""
         known = self._known.get(listing.name)
@@ -178,3 +183,12 @@
             if known.removed_ms is None:
                 services.setdefault(known.listing.service, []).append(known)
         self._services = services
+        self._ready = {
+            service: [
+                known
+                for known in members
+                if known.listing.state is ServerState.READY
+                and not self.is_ambiguous(known)
+            ]
+            for service, members in services.items()
+        }
--- a/tests/flow/test_core.py
+++ b/tests/flow/test_core.py
@@ -266,6 +266,25 @@
     assert core.routes is world.CONFIG
 
 
+def test_the_cost_of_an_opening_packet_does_not_grow_with_the_fleet():
+    """2,700 servers are expected in two years."""
+    core = world.make_core(*(world.listing(n) for n in range(1, 400)))
+    compared = []
+    choose = core._chooser.choose
+
+    def count(now_ms, candidates, observations):
+        compared.append(len(candidates))
+        return choose(now_ms, candidates, observations)
+
+    core._chooser.choose = count
+    chosen = {
+        world.Flow(core, client_port=number).open(number).ident
+        for number in range(400)
+    }
+    assert max(compared) <= core_lib.CONSIDERED_SERVERS
+    assert len(chosen) > 200
+
+
 def test_weights_of_a_route_are_kept():
     table = routes.RouteTable(
         1,
