Keep the test of torn log lines below the bound of what waits

Cause: with 50 lines a kind and second, 2,500 lines are more than the 256 KB that may wait, so that the log rightly left some out (2,043 came). Change: 1,500 lines, which still exceed the 64 KB of a pipe; the check that each of them arrives whole stays.

--- a/tests/adapters/test_jsonlog.py
+++ b/tests/adapters/test_jsonlog.py
@@ -98,8 +98,8 @@
 
 def test_lines_that_a_pipe_took_in_part_are_not_torn():
     reader, log = make()
-    count = 50 * jsonlog.LINES_PER_SECOND
-    for second in range(50):
+    count = 30 * jsonlog.LINES_PER_SECOND
+    for second in range(30):
         for number in range(jsonlog.LINES_PER_SECOND):
             log.flow(second * 1000, "no_route", PACKET, config=number)
     data = b""
