--- a/deploy/balancer.py
+++ b/deploy/balancer.py
@@ -5,8 +5,13 @@
 """
 
 import os
+import signal
 import sys
 
+# The settings may change while modules are imported; the default action would
+# end the process. They are read after that.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 # asyncio works without TLS; importing it takes a tenth of the start.
 sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
 
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -40,6 +40,7 @@
         self.settings = folder / f"{self.name}.json"
         self.log = folder / f"{self.name}.log"
         self.process = None
+        self.starts = 0
         fields = {
             "node_name": self.name,
             "ip": self.ip,
@@ -78,6 +79,7 @@
         )
 
     def start(self):
+        self.starts += 1
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-P", str(ROOT / "deploy/balancer.py")],
@@ -93,6 +95,17 @@
     def signal(self, number):
         self.process.send_signal(number)
 
+    def handles_signals(self):
+        """Return whether each start has logged that it is complete."""
+        started = [e for e in self.events() if e["event"] == "started"]
+        return len(started) == self.starts
+
+    def ignores_hang_up(self):
+        """Return whether SIGHUP is ignored, as the kernel tells."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        ignored = status.partition("SigIgn:")[2].split()[0]
+        return bool(int(ignored, 16) >> (signal.SIGHUP - 1) & 1)
+
     def kill(self):
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
@@ -119,8 +132,12 @@
 
     def events(self):
         """Return the lines of the log that have been written."""
-        lines = self.log.read_bytes().splitlines()
-        return [json.loads(line) for line in lines if line[:1] == b"{"]
+        lines = self.log.read_bytes().splitlines(keepends=True)
+        return [
+            json.loads(line)
+            for line in lines
+            if line[:1] == b"{" and line[-2:] == b"}\n"
+        ]
 
 
 class Deployment:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -201,6 +201,22 @@
     asyncio.run(run())
 
 
+def test_a_signal_during_the_start_does_not_end_the_process(tmp_path):
+    """The default action of SIGHUP ends a process that still imports."""
+
+    async def run():
+        async with deployed(tmp_path, balancers=1) as found:
+            (balancer,) = found.balancers
+            balancer.kill()
+            balancer.start()
+            await until(balancer.ignores_hang_up)
+            while not await balancer.ready():
+                balancer.signal(signal.SIGHUP)
+            assert balancer.process.poll() is None
+
+    asyncio.run(run())
+
+
 def test_metrics_and_dump_tell_what_happened(tmp_path):
     async def run():
         async with deployed(tmp_path, balancers=1) as found:
--- a/tests/standins/flow_ends.py
+++ b/tests/standins/flow_ends.py
@@ -35,11 +35,13 @@
     """Answers each request with its own name.
 
     :ivar deaf: takes packets and answers nothing
+    :ivar was_deaf: was deaf at any time
     """
 
     def __init__(self, ident, clients):
         self.ident = ident
         self.deaf = False
+        self.was_deaf = False
         self.flows = {}
         self.misdirected = 0
         self.requests = []
@@ -126,10 +128,13 @@
         self._rng = rng
         self._queue = clients.open(client_port)
         self._ends = (client_port, host, CLIENT_HOST, port)
+        self.client_port = client_port
         self.seq = 100
         self.ack = 0
         self.echo = 0
         self.was_reset = False
+        # Resets of balancers carry no sum.
+        self.reset_by_balancer = False
 
     def _send(self, flags, data=b"", copy=None):
         ack = self.ack if copy is None else copy
@@ -141,15 +146,19 @@
         """Return the next packet that belongs to the flow as it stands.
 
         A server that answers an opening packet later than another one is
-        ignored, and so is the field that it echoes.
+        ignored, and so is the field that it echoes; data that came before
+        is dropped, as the ends of a flow do.
         """
         async with asyncio.timeout(wait_s):
             while True:
                 data = await self._queue.get()
                 head = HEAD.unpack_from(data)
-                if not (head[0] & SYN and self.echo):
+                late = head[0] & SYN and self.echo
+                again = len(data) > HEAD.size and head[8] != self.ack
+                if not late and not again:
                     break
         self.was_reset = bool(head[0] & RST)
+        self.reset_by_balancer = self.was_reset and head[2] == bytes(4)
         return head, data[HEAD.size :]
 
     async def open(self):
