Reset only flows that repeated a packet, on fresh evidence of two servers

The only balancer of oslo-b was away, and repeated packets to its servers counted without an age. Ruled out: a real cut, as the server answered others in these seconds. Change: a domain needs repeated packets at two servers in the last 1.5 s; a flow is reset only when it repeated a packet itself.

--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -229,7 +229,7 @@
     ) -> None:
         """Note a packet that a server has not answered."""
         name = known.listing.name
-        self.reach.repeated(known.listing.failure_domain, key)
+        self.reach.repeated(now_ms, known.listing.failure_domain, name)
         if self.observations.of(name).repeated(now_ms, key):
             self._log.server(now_ms, "server_silent", name)
 
@@ -294,12 +294,14 @@
         """
         if not packet.length or rec.route is None or not rec.route.idempotent:
             return False
+        if not rec.silent:
+            # What is believed may be old; this packet may be answered.
+            return False
         if self.reach.is_cut(now_ms, known.listing.failure_domain):
             return self._others_answer(now_ms, known)
         seen = self.observations.of(known.listing.name)
         return (
-            rec.silent > 0
-            and seen.is_lost(now_ms)
+            seen.is_lost(now_ms)
             and self._others_answer(now_ms, known)
             and not any(
                 other is not seen and other.has_evidence(now_ms)
--- a/src/cyclamenridge/flow/reach.py
+++ b/src/cyclamenridge/flow/reach.py
@@ -1,7 +1,6 @@
 """Which failure domains this process reaches."""
 
 import collections
-from collections.abc import Hashable
 
 # Beacons of a domain's balancers arrive several times in this time.
 BEACON_SILENT_MS = 700
@@ -9,8 +8,12 @@
 # to its servers are evidence that the domain is cut off. A client repeats
 # after 200 ms, a request takes some 40 ms.
 ANSWER_SILENT_MS = 400
-# Flows whose packets were repeated since the last answer of the domain.
-UNANSWERED_FLOWS = 2
+# Servers to which packets were repeated since the last answer of the domain.
+# One may have died alone while the domain's only balancer restarts.
+UNANSWERED_SERVERS = 2
+# Older repeats are no evidence: a process that rarely sends to a domain may
+# wait long for an answer that clears them.
+EVIDENCE_MS = 1500
 
 
 class _Domain:
@@ -19,7 +22,7 @@
     def __init__(self) -> None:
         self.beacon_ms: int | None = None
         self.answered_ms = 0
-        self.unanswered: set[Hashable] = set()
+        self.unanswered: dict[str, int] = {}
 
 
 class Reach:
@@ -44,9 +47,9 @@
         if found.unanswered:
             found.unanswered.clear()
 
-    def repeated(self, domain: str, flow: Hashable) -> None:
+    def repeated(self, now_ms: int, domain: str, server: str) -> None:
         """Note a packet to a server of a domain that was repeated."""
-        self._domains[domain].unanswered.add(flow)
+        self._domains[domain].unanswered[server] = now_ms
 
     def is_cut(self, now_ms: int, domain: str) -> bool:
         """Return whether a domain is cut off from this process."""
@@ -57,5 +60,9 @@
             and found.beacon_ms is not None
             and now_ms - found.beacon_ms >= BEACON_SILENT_MS
             and now_ms - found.answered_ms >= ANSWER_SILENT_MS
-            and len(found.unanswered) >= UNANSWERED_FLOWS
+            and sum(
+                now_ms - repeated_ms < EVIDENCE_MS
+                for repeated_ms in found.unanswered.values()
+            )
+            >= UNANSWERED_SERVERS
         )
--- a/tests/flow/test_core.py
+++ b/tests/flow/test_core.py
@@ -407,6 +407,42 @@
         assert fresh.open(now_ms).ident in {1, 2}
 
 
+def test_the_first_packet_of_a_request_is_never_answered_with_a_reset():
+    """What is believed of a domain may be old, and the flow alive.
+
+    Hunt day hunt-c0b1-11 at fjordbind-prod: the only balancer of a domain
+    restarted, one of its servers had died, and six flows at its other
+    servers were reset at the first packet of a request.
+    """
+    core = make_zones()
+    core.reach.beacon(0, "too")
+    _, now_ms, out = silence(core, {3, 4}, flows=6)
+    assert out == effects.RESET
+    fresh = world.Flow(core, client_port=7000)
+    fresh.token = 3
+    assert world.forwards(fresh.request(now_ms))
+    assert fresh.repeat(now_ms + 200) == effects.RESET
+
+
+def test_one_dead_server_does_not_make_its_domain_cut():
+    core = make_zones()
+    core.reach.beacon(0, "too")
+    _, now_ms, _ = silence(core, {3}, flows=6)
+    assert core.reach.is_cut(now_ms, "too") is False
+    fresh = world.Flow(core, client_port=7000)
+    fresh.token = 4
+    fresh.request(now_ms)
+    assert world.forwards(fresh.repeat(now_ms + 200))
+
+
+def test_old_repeats_do_not_make_a_domain_cut():
+    core = make_zones()
+    core.reach.beacon(0, "too")
+    _, now_ms, _ = silence(core, {3, 4}, flows=6)
+    assert core.reach.is_cut(now_ms, "too")
+    assert not core.reach.is_cut(now_ms + 1500, "too")
+
+
 def test_a_silent_server_is_tried_beside_one_that_is_heard():
     """The trial must not cost a client its first 200 ms."""
     core = world.make_core(*SERVERS)
