--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -391,7 +391,6 @@
             rec.high = end
             rec.high_ms = now_ms
             if rec.waiting is None:
-                rec.requests += 1
                 self._wait(now_ms, rec, known.listing.name)
             return
         if now_ms - rec.high_ms < REPEAT_MS:
--- a/src/cyclamenridge/flow/settings.py
+++ b/src/cyclamenridge/flow/settings.py
@@ -19,11 +19,6 @@
     :param seeds: peers to ask first; empty when none are told
     :param peer_ports: first and last port for traffic between balancers
     :param stop_ms: time between SIGTERM and SIGKILL
-    :param drain_ms: time after which a leaving server gets no new flows
-    :param config_ms: time within which a configuration is in force
-    :param recover_ms: time within which service is back
-    :param max_flow_ms: age at which a flow may be discarded
-    :param heartbeat_ms: interval at which backend servers report
     :param metrics_port: port that metrics and the state dump are served on
     """
 
@@ -36,9 +31,4 @@
     peer_ports: tuple[int, int]
     store: StoreSettings
     stop_ms: int
-    drain_ms: int
-    config_ms: int
-    recover_ms: int
-    max_flow_ms: int
-    heartbeat_ms: int
     metrics_port: int
--- a/src/cyclamenridge/flow/tracking.py
+++ b/src/cyclamenridge/flow/tracking.py
@@ -30,7 +30,6 @@
         "high_ms",
         "last_ms",
         "opened_ms",
-        "requests",
         "route",
         "seq",
         "server",
@@ -52,7 +51,6 @@
         self.acked: int | None = None
         self.waiting: str | None = None
         self.waiting_ms = 0
-        self.requests = 0
         self.silent = 0
 
 
--- a/src/cyclamenridge/platform/settings.py
+++ b/src/cyclamenridge/platform/settings.py
@@ -37,11 +37,6 @@
             address=reader.address("platform.address")
         ),
         stop_ms=reader.milliseconds("bounds.grace_s", unit_ms=1000),
-        drain_ms=reader.milliseconds("bounds.drain_ms"),
-        config_ms=reader.milliseconds("bounds.config_apply_ms"),
-        recover_ms=reader.milliseconds("bounds.recovery_s", unit_ms=1000),
-        max_flow_ms=reader.milliseconds("bounds.max_flow_s", unit_ms=1000),
-        heartbeat_ms=reader.milliseconds("heartbeat_ms"),
         metrics_port=metrics_port,
     )
     reader.require("discovery", "platform")
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -43,7 +43,6 @@
     assert got.packets == address_lib.Address("10.1.0.10", 8172)
     assert got.failure_domain == "qld-bne"
     assert got.stop_ms == 6000
-    assert got.max_flow_ms == 60_000
     assert got.peer_ports == (7720, 7735)
     assert [seed.port for seed in got.seeds] == [8166, 8166]
 
