Reset flows only of domains that are cut off

Passive evidence on a single server cannot tell a dead one from a full link. Copies of opening packets that are read together after a pause were taken for evidence against a server and sent to others; they are dropped.

--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -121,6 +121,10 @@
             # The flow is open: the copy was overtaken by the handshake.
             self.counters["late_copies"] += 1
             return effects.DROP
+        if rec.tried and now_ms - rec.waiting_ms < REPEAT_MS:
+            # Read together after a pause: the server had no time to answer.
+            self.counters["late_copies"] += 1
+            return effects.DROP
         for known in rec.tried:
             self._repeated(now_ms, key, known)
         service = (
@@ -270,10 +274,8 @@
                 "flow_given_up",
                 packet,
                 server=known.listing.name,
+                failure_domain=known.listing.failure_domain,
                 answered_ms_ago=seen.answered_ms_ago(now_ms),
-                domain_cut=self.reach.is_cut(
-                    now_ms, known.listing.failure_domain
-                ),
             )
             return effects.RESET
         return self._forward(known)
@@ -288,24 +290,24 @@
         """Return whether a reset lets the client go on sooner.
 
         Only requests that may run again are worth a reset: the client does
-        not repeat others on a new flow. A server counts as lost when its
-        failure domain is cut off, or when it alone does not answer: a full
-        link, or a cut of this machine, would show at other servers too.
+        not repeat others on a new flow. Only a cut of the server's failure
+        domain is evidence enough; a single silent server may be alive behind
+        a full link. Losses outside of the domain show such a link, or a cut
+        of this machine.
         """
         if not packet.length or rec.route is None or not rec.route.idempotent:
             return False
         if not rec.silent:
             # What is believed may be old; this packet may be answered.
             return False
-        if self.reach.is_cut(now_ms, known.listing.failure_domain):
-            return self._others_answer(now_ms, known)
-        seen = self.observations.of(known.listing.name)
+        domain = known.listing.failure_domain
         return (
-            seen.is_lost(now_ms)
+            self.reach.is_cut(now_ms, domain)
             and self._others_answer(now_ms, known)
             and not any(
-                other is not seen and other.has_losses(now_ms)
-                for _, other in self.observations.items()
+                other.listing.failure_domain != domain
+                and self.observations.of(other.listing.name).has_losses(now_ms)
+                for other in self.directory
             )
         )
 
--- a/src/cyclamenridge/flow/observed.py
+++ b/src/cyclamenridge/flow/observed.py
@@ -10,13 +10,9 @@
 # Flows that must be unanswered before new flows avoid a server. A single
 # one may have met a full queue or a lost datagram.
 SILENT_FLOWS = 2
-# Flows that must be unanswered, and time without any answer, before a
-# server counts as lost and its flows are given up.
-LOST_FLOWS = 3
-LOST_MS = 800
 # Repeated packets to other servers within this time, even if they were
-# answered later, show that losses are not the fault of one server. A full
-# link delays packets by up to two seconds.
+# answered later, show that losses are not the fault of one failure domain.
+# A full link delays packets by up to two seconds.
 LOSSES_MS = 3000
 # Evidence older than this does not count any more.
 EVIDENCE_MS = 4000
@@ -97,14 +93,6 @@
             and now_ms - self.evidence_ms < EVIDENCE_MS
         )
 
-    def is_lost(self, now_ms: int) -> bool:
-        """Return whether flows that wait for the server are given up."""
-        return (
-            len(self._unanswered) >= LOST_FLOWS
-            and now_ms - self.answered_ms >= LOST_MS
-            and now_ms - self.evidence_ms < EVIDENCE_MS
-        )
-
     def has_losses(self, now_ms: int) -> bool:
         """Return whether a packet to it was repeated, answered or not."""
         return now_ms - self.evidence_ms < LOSSES_MS
