--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -10,6 +10,7 @@
 from cyclamenridge.flow import log as log_port
 from cyclamenridge.flow import observed as observed_lib
 from cyclamenridge.flow import packet as packet_lib
+from cyclamenridge.flow import placement
 from cyclamenridge.flow import reach as reach_lib
 from cyclamenridge.flow import routes as routes_lib
 from cyclamenridge.flow import tracking
@@ -21,20 +22,9 @@
 # A client gives up opening a flow after 1.4 s.
 OPENING_MS = 1500
 SWEEP_MS = 500
-# Servers that are compared for an opening packet; more would cost more
-# processor time with the fleet and hardly find a freer one.
-CONSIDERED_SERVERS = 64
-# Requests that wait for each slot of every server of a service when copies of
-# opening packets are held: twice the work of an unloaded request is the least
-# that makes answers late on today's installations.
-CROWDED_PER_SLOT = 2
-# Routes that are ranked above others of their service are held later.
-FIRST_RANKED_FACTOR = 2
 # Clients repeat data after 200 ms without an acknowledgement; older data that
 # comes sooner after newer data was overtaken on its way.
 REPEAT_MS = 150
-# A server that was not heard for this long is tried together with another.
-UNHEARD_MS = 400
 # A server that answered within this time is reached from here.
 ALIVE_MS = 600
 
@@ -64,7 +54,12 @@
         self.store_heard_ms = 0
         # Whether the last call to the store failed.
         self.store_lost = False
-        self._chooser = chooser
+        self._placement = placement.Placement(
+            chooser=chooser,
+            observations=self.observations,
+            reach=self.reach,
+            rng=rng,
+        )
         self._rng = rng
         self._log = log
         self._flows: dict[tracking.FlowKey, tracking.FlowRecord] = {}
@@ -133,10 +128,8 @@
             if rec.tried
             else route.pick_service(self._rng)
         )
-        ready = self.directory.ready_of(service)
-        if len(ready) > CONSIDERED_SERVERS:
-            ready = self._rng.sample(ready, CONSIDERED_SERVERS)
-        if not ready:
+        servers = self._placement.consider(self.directory.ready_of(service))
+        if not servers:
             self.counters["flows_without_server"] += 1
             self._log.flow(
                 now_ms,
@@ -146,73 +139,29 @@
                 store_revision=self.directory.revision,
             )
             return effects.RESET
-        if packet.ack and self._is_crowded(route, ready):
+        if packet.ack and self._placement.is_crowded(
+            servers, first_ranked=self.routes.is_first_ranked(route)
+        ):
             self.counters["copies_held"] += 1
             self._log.flow(
                 now_ms,
                 "copy_held",
                 packet,
                 copy=packet.ack,
-                servers=len(ready),
+                servers=len(servers),
             )
             return effects.DROP
-        return self._place(now_ms, packet, rec, ready)
-
-    def _is_crowded(
-        self, route: routes_lib.Route, ready: list[directory_lib.Known]
-    ) -> bool:
-        """Return whether copies of opening packets have to wait.
-
-        The first packet of a flow is always sent to a server. A client that
-        sends a copy has waited longer than an answer in time takes, so that
-        requests that can still be in time go first; it sends another copy.
-        """
-        assert self.routes is not None
-        limit = CROWDED_PER_SLOT
-        if self.routes.is_first_ranked(route):
-            limit *= FIRST_RANKED_FACTOR
-        for known in ready:
-            seen = self.observations.of(known.listing.name)
-            if seen.waiting + seen.foreign < limit * known.listing.slots:
-                return False
-        return True
+        return self._place(now_ms, packet, rec, servers)
 
     def _place(
         self,
         now_ms: int,
         packet: packet_lib.Packet,
         rec: tracking.FlowRecord,
-        ready: list[directory_lib.Known],
+        servers: list[directory_lib.Known],
     ) -> effects.Effects:
-        """Choose a server; a silent one is tried beside it now and then."""
-        observations = self.observations
-        heard = []
-        silent = []
-        for known in ready:
-            seen = observations.of(known.listing.name)
-            avoid = seen.is_silent(now_ms) or self.reach.is_cut(
-                now_ms, known.listing.failure_domain
-            )
-            (silent if avoid else heard).append(known)
-        fresh = [known for known in heard if known not in rec.tried]
-        known = self._chooser.choose(
-            now_ms, fresh or heard or ready, observations
-        )
-        chosen = [known]
-        rest = [k for k in heard if k is not known and k not in rec.tried]
-        age_ms = now_ms - observations.of(known.listing.name).answered_ms
-        if rest and age_ms > UNHEARD_MS:
-            chosen.append(self._chooser.choose(now_ms, rest, observations))
-        for other in silent:
-            seen = observations.of(other.listing.name)
-            if (
-                other is not known
-                and other not in rec.tried
-                and seen.try_again(now_ms)
-            ):
-                chosen.append(other)
-                break
-        self._wait(now_ms, rec, known.listing.name)
+        chosen = self._placement.choose(now_ms, servers, rec.tried)
+        self._wait(now_ms, rec, chosen[0].listing.name)
         out: effects.Effects = ()
         for known in chosen:
             rec.tried.append(known)
@@ -220,7 +169,7 @@
                 now_ms,
                 packet,
                 known,
-                observations.of(known.listing.name),
+                self.observations.of(known.listing.name),
                 0 if self.routes is None else self.routes.version,
             )
             out += self._forward(known)
--- a/tests/flow/test_core.py
+++ b/tests/flow/test_core.py
@@ -6,6 +6,7 @@
 from cyclamenridge.flow import directory
 from cyclamenridge.flow import effects
 from cyclamenridge.flow import packet as packet_lib
+from cyclamenridge.flow import placement
 from cyclamenridge.flow import routes
 from tests.flow import world
 
@@ -186,7 +187,7 @@
 def test_copies_wait_while_all_servers_are_crowded():
     """Late requests go behind those that can still be in time."""
     core = world.make_core(*SERVERS)
-    crowd(core, core_lib.CROWDED_PER_SLOT)
+    crowd(core, placement.CROWDED_PER_SLOT)
     flow = world.Flow(core)
     tried = {item.ident for item in world.forwards(flow.syn(0))}
     assert flow.syn(200, 1) == effects.DROP
@@ -197,14 +198,14 @@
 
 def test_copies_of_the_work_ranked_first_are_held_last():
     core = world.make_core(*SERVERS)
-    crowd(core, core_lib.CROWDED_PER_SLOT)
+    crowd(core, placement.CROWDED_PER_SLOT)
     feed = world.Flow(core, port=world.FEED_PORT, client_port=1)
     push = world.Flow(core, port=world.PUSH_PORT, client_port=2)
     feed.syn(0)
     push.syn(0)
     assert feed.syn(200, 1) == effects.DROP
     assert world.forwards(push.syn(200, 1))
-    crowd(core, core_lib.CROWDED_PER_SLOT * core_lib.FIRST_RANKED_FACTOR)
+    crowd(core, placement.CROWDED_PER_SLOT * placement.FIRST_RANKED_FACTOR)
     assert push.syn(600, 2) == effects.DROP
 
 
@@ -286,18 +287,19 @@
     """2,700 servers are expected in two years."""
     core = world.make_core(*(world.listing(n) for n in range(1, 400)))
     compared = []
-    choose = core._chooser.choose
+    chooser = core._placement._chooser
+    choose = chooser.choose
 
     def count(now_ms, candidates, observations):
         compared.append(len(candidates))
         return choose(now_ms, candidates, observations)
 
-    core._chooser.choose = count
+    chooser.choose = count
     chosen = {
         world.Flow(core, client_port=number).open(number).ident
         for number in range(400)
     }
-    assert max(compared) <= core_lib.CONSIDERED_SERVERS
+    assert max(compared) <= placement.CONSIDERED_SERVERS
     assert len(chosen) > 200
 
 
