Index servers when they are asked for, not after each entry

Ruled out: the first read itself; 3,000 entries are read with six stale pages. Change: lists are made again on the next question after a change; beacons look at servers that this process sent something to. Both new tests failed before.

--- a/src/cyclamenridge/flow/directory.py
+++ b/src/cyclamenridge/flow/directory.py
@@ -79,8 +79,11 @@
         self._keep_ms = longest_flow_ms * KEEP_FACTOR
         self._known: dict[str, Known] = {}
         self._tokens: dict[int, Known] = {}
+        # Made again from _known when they are asked for: a start puts
+        # thousands of entries at once.
         self._services: dict[str, list[Known]] = {}
         self._ready: dict[str, list[Known]] = {}
+        self._is_indexed = True
 
     def __iter__(self) -> Iterator[Known]:
         return iter(self._known.values())
@@ -98,10 +101,12 @@
 
     def of_service(self, service: str) -> list[Known]:
         """Return the listed servers of a service."""
+        self._index()
         return self._services.get(service, [])
 
     def ready_of(self, service: str) -> list[Known]:
         """Return the servers of a service that take new flows."""
+        self._index()
         return self._ready.get(service, [])
 
     def put(self, now_ms: int, listing: Listing) -> bool:
@@ -121,7 +126,7 @@
             or holder.removed_ms is not None
         ):
             self._tokens[fresh.token] = fresh
-        self._index()
+        self._is_indexed = False
         return True
 
     def remove(self, now_ms: int, name: str, revision: int) -> bool:
@@ -133,7 +138,7 @@
         if known.removed_ms is not None:
             return False
         known.removed_ms = now_ms
-        self._index()
+        self._is_indexed = False
         return True
 
     def replace(
@@ -180,6 +185,9 @@
         return self._tokens.get(known.token) is not known
 
     def _index(self) -> None:
+        if self._is_indexed:
+            return
+        self._is_indexed = True
         services: dict[str, list[Known]] = {}
         for known in self._known.values():
             if known.removed_ms is None:
--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -155,10 +155,10 @@
     def beacon(self, *, asks: bool = False) -> bytes:
         """Return the beacon of this moment."""
         loads = []
-        for known in self._core.directory:
-            waiting = self._core.observations.of(known.listing.name).waiting
-            if waiting > 0:
-                loads.append(Load(known.token, waiting))
+        for name, seen in self._core.observations.items():
+            known = self._core.directory.get(name)
+            if seen.waiting > 0 and known is not None:
+                loads.append(Load(known.token, seen.waiting))
         if len(loads) > MAX_LOADS:
             loads.sort(key=lambda load: -load.waiting)
             del loads[MAX_LOADS:]
--- a/tests/flow/test_directory.py
+++ b/tests/flow/test_directory.py
@@ -101,3 +101,25 @@
     # A removal that comes before the entry it removes leaves no trace, as
     # the store never tells them in that order.
     assert listed >= {n for n, removed in newest.items() if not removed}
+
+
+def test_a_start_with_thousands_of_servers_indexes_them_once(monkeypatch):
+    """Sweep at 300 machines: 3,000 entries were indexed after each one.
+
+    The processes needed half of their core for it and the day was given up.
+    """
+    found = directory.Directory(FLOW_MS)
+    compared = 0
+    is_ambiguous = directory.Directory.is_ambiguous
+
+    def count(self, known):
+        nonlocal compared
+        compared += 1
+        return is_ambiguous(self, known)
+
+    monkeypatch.setattr(directory.Directory, "is_ambiguous", count)
+    listings = [world.listing(number) for number in range(1, 3001)]
+    found.replace(0, 4000, listings)
+    assert len(found.ready_of("counter")) == 3000
+    assert len(found.of_service("counter")) == 3000
+    assert compared == 3000
--- a/tests/flow/test_peers.py
+++ b/tests/flow/test_peers.py
@@ -147,3 +147,11 @@
         assert len(node.peers) == 0
     with pytest.raises(errors.ControlError):
         node.peers.apply(0, data + b"\xc1")
+
+
+def test_a_beacon_costs_what_is_waiting_and_not_the_fleet():
+    """2,700 servers are expected; five beacons a second must stay cheap."""
+    node = Node(1, *(world.listing(number) for number in range(1, 2701)))
+    world.Flow(node.core).open(0)
+    node.peers.beacon()
+    assert len(list(node.core.observations.items())) <= 64
