Hold first packets of lower-ranked routes while all servers are full

Ruled out: too little capacity for the edits (9 of 21 slots); placement by load (busiest over mean 1.05). Change: such packets wait for the next copy while all servers hold four requests a slot; the last copy is always sent to a server. Which routes are preferred is worked out once a configuration, not at each packet.

--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -19,8 +19,10 @@
 FIN = packet_lib.FIN
 RST = packet_lib.RST
 
-# A client gives up opening a flow after 1.4 s.
+# A client gives up opening a flow after 1.4 s, and sends no copy of the
+# opening packet after this one.
 OPENING_MS = 1500
+LAST_COPY = 2
 SWEEP_MS = 500
 # Clients repeat data after 200 ms without an acknowledgement; older data that
 # comes sooner after newer data was overtaken on its way.
@@ -50,6 +52,7 @@
         self.observations = observed_lib.Observations()
         self.reach = reach_lib.Reach(failure_domain)
         self.routes: routes_lib.RouteTable | None = None
+        self._preferred: frozenset[tuple[int, int]] = frozenset()
         # When the store was heard last, on the monotonic clock.
         self.store_heard_ms = 0
         # Whether the last call to the store failed.
@@ -79,6 +82,7 @@
         if self.routes is not None and table.version <= self.routes.version:
             return False
         self.routes = table
+        self._preferred = table.preferred()
         return True
 
     def packet(
@@ -139,13 +143,17 @@
                 store_revision=self.directory.revision,
             )
             return effects.RESET
-        if packet.ack and self._placement.is_crowded(
-            servers, first_ranked=self.routes.is_first_ranked(route)
+        # A flow is offered to a server at least once.
+        is_due = packet.ack >= LAST_COPY and not rec.tried
+        if not is_due and self._placement.is_crowded(
+            servers,
+            preferred=(route.host, route.port) in self._preferred,
+            copy=packet.ack > 0,
         ):
-            self.counters["copies_held"] += 1
+            self.counters["openings_held"] += 1
             self._log.flow(
                 now_ms,
-                "copy_held",
+                "opening_held",
                 packet,
                 copy=packet.ack,
                 servers=len(servers),
--- a/src/cyclamenridge/flow/placement.py
+++ b/src/cyclamenridge/flow/placement.py
@@ -15,8 +15,9 @@
 # opening packets are held: twice the work of an unloaded request is the least
 # that makes answers late on today's installations.
 CROWDED_PER_SLOT = 2
-# Routes that are ranked above others of their service are held later.
-FIRST_RANKED_FACTOR = 2
+# The same for first packets, and for copies of routes that go before others: a
+# server with so many would refuse the request.
+FULL_PER_SLOT = 4
 # A server that was not heard for this long is tried together with another.
 UNHEARD_MS = 400
 
@@ -44,17 +45,25 @@
         return ready
 
     def is_crowded(
-        self, servers: Sequence[directory.Known], *, first_ranked: bool
+        self,
+        servers: Sequence[directory.Known],
+        *,
+        preferred: bool,
+        copy: bool,
     ) -> bool:
-        """Return whether copies of opening packets have to wait.
+        """Return whether an opening packet has to wait for its next copy.
+
+        A client that sends a copy has waited longer than an answer in time
+        takes, so that requests that can still be in time go first. First
+        packets of a preferred route never wait. Others do when all servers
+        are full: they would be refused there, or take a place from preferred
+        work.
 
-        The first packet of a flow is always sent to a server. A client that
-        sends a copy has waited longer than an answer in time takes, so that
-        requests that can still be in time go first; it sends another copy.
+        :param preferred: whether the route goes before others of its service
         """
-        limit = CROWDED_PER_SLOT
-        if first_ranked:
-            limit *= FIRST_RANKED_FACTOR
+        if preferred and not copy:
+            return False
+        limit = FULL_PER_SLOT if preferred or not copy else CROWDED_PER_SLOT
         for known in servers:
             seen = self._observations.of(known.listing.name)
             if seen.waiting + seen.foreign < limit * known.listing.slots:
--- a/src/cyclamenridge/flow/routes.py
+++ b/src/cyclamenridge/flow/routes.py
@@ -53,12 +53,17 @@
     services: frozenset[str]
     idle_ms: int
 
-    def is_first_ranked(self, route: Route) -> bool:
-        """Return whether a route goes before another of its service."""
-        return any(
-            route.rank < other.rank
-            and any(target in other.targets for target in route.targets)
-            for other in self.routes.values()
+    def preferred(self) -> frozenset[tuple[int, int]]:
+        """Return the keys of routes that go before others of a service."""
+        last: dict[str, int] = {}
+        for route in self.routes.values():
+            for target in route.targets:
+                rank = last.get(target.service, route.rank)
+                last[target.service] = max(rank, route.rank)
+        return frozenset(
+            key
+            for key, route in self.routes.items()
+            if any(route.rank < last[t.service] for t in route.targets)
         )
 
     def find(self, host: int, port: int) -> Route | None:
