Harm connections to the store in the soak, and check configurations

Cause: the soak stopped, paused, killed and restarted processes and made the store silent as a whole, but no connection was delayed, reset, cut one way or silenced, and no check asked whether a configuration gets everywhere. Change: a loopback proxy for each balancer's connections to the store, four faults, and a check that a version written after the faults is in force at all processes within contact_ms and config_apply_ms.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -14,6 +14,7 @@
 
 from tests.standins import flow_ends
 from tests.standins import metadata_store
+from tests.standins import tcp_proxy
 
 ROOT = pathlib.Path(__file__).parents[2]
 HOST = "198.18.0.1"
@@ -31,8 +32,10 @@
 class Balancer:
     """A process with its own loopback address, as machines have."""
 
-    def __init__(self, deployment, number, folder):
+    def __init__(self, deployment, number, folder, proxy):
         self.name = f"front-{number}"
+        # Between this machine and the store.
+        self.proxy = proxy
         self.ip = f"127.0.{os.getpid() % 200 + 20}.{number}"
         self.packets = (self.ip, deployment.clients.port)
         self.ready_port = deployment.ready_port
@@ -65,7 +68,7 @@
                 "max_flow_s": 60,
             },
             "platform": {
-                "address": f"127.0.0.1:{deployment.store_port}",
+                "address": f"127.0.0.1:{proxy.port}",
                 "forwarding_mode": "kv",
             },
         }
@@ -127,6 +130,11 @@
         head, _, body = data.partition(b"\r\n\r\n")
         return int(head.split()[1]), body
 
+    async def config_version(self):
+        """Return the configuration in force, 0 without an answer."""
+        status, body = await self.get(self.metrics_port, "/dump")
+        return json.loads(body)["config_version"] if status == 200 else 0
+
     async def ready(self):
         return (await self.get(self.ready_port, "/ready"))[0] == 200
 
@@ -205,8 +213,10 @@
             f"servers/i-{server.ident:x}", json.dumps(entry).encode()
         )
 
-    def add_balancer(self, folder):
-        balancer = Balancer(self, len(self.balancers) + 1, folder)
+    async def add_balancer(self, folder):
+        proxy = tcp_proxy.TcpProxy(self.store_port)
+        await proxy.start()
+        balancer = Balancer(self, len(self.balancers) + 1, folder, proxy)
         if self.seed_ip is None:
             self.seed_ip = balancer.ip
         self.balancers.append(balancer)
@@ -249,13 +259,14 @@
     await found.add_server("workshop")
     try:
         for _ in range(balancers):
-            found.add_balancer(folder).start()
+            (await found.add_balancer(folder)).start()
         for balancer in found.balancers:
             await until(balancer.ready)
         yield found
     finally:
         for balancer in found.balancers:
             balancer.kill()
+            await balancer.proxy.stop()
         found.clients.close()
         for server in found.servers.values():
             server.close()
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -19,6 +19,9 @@
 RUN_S = 8.0
 # Processes need about a second to start beside others.
 RECOVERY_S = 8
+# A configuration is in force this long after it was written, or after the
+# faults of the store have ended: contact_ms and config_apply_ms.
+APPLIED_S = 7
 # A server that says that it leaves gets no new flows after this time.
 DRAIN_S = 3.0
 CLIENTS = 6
@@ -130,6 +133,10 @@
             self._hang_up,
             self._stop,
             self._store,
+            self._reset_connections,
+            self._silence_connections,
+            self._cut_one_way,
+            self._delay_connections,
             self._configure,
             self._add_server,
             self._drain_server,
@@ -177,6 +184,19 @@
         if self.rng.random() < 0.3:
             store.compact()
 
+    def _reset_connections(self):
+        self._balancer().proxy.reset()
+
+    def _silence_connections(self):
+        self._balancer().proxy.silence()
+
+    def _cut_one_way(self):
+        proxy = self._balancer().proxy
+        proxy.lose_answers = not proxy.lose_answers
+
+    def _delay_connections(self):
+        self._balancer().proxy.delay_s = self.rng.choice((0, 0.05, 0.5, 3))
+
     def _configure(self):
         self.found.configure(feed="counter", dump="workshop")
 
@@ -216,6 +236,8 @@
         self.found.store.silent = False
         self.found.store.busy = 0
         for balancer in self.found.balancers:
+            balancer.proxy.lose_answers = False
+            balancer.proxy.delay_s = 0
             self._wake(balancer)
 
     async def _recover(self):
@@ -226,10 +248,27 @@
                 )
             except TimeoutError:
                 self._break(f"{balancer.name} is not ready after the faults")
+        await self._check_configuration()
         for port in (deployment.FEED_PORT, deployment.DUMP_PORT):
             if not await self._serves(port):
                 self._break(f"no flow to {port} after the faults")
 
+    async def _check_configuration(self):
+        """Check that a new configuration gets everywhere in time."""
+        self.found.configure(feed="counter", dump="workshop")
+
+        async def is_applied():
+            versions = [
+                await balancer.config_version()
+                for balancer in self.found.balancers
+            ]
+            return all(version == self.found.version for version in versions)
+
+        try:
+            await until(is_applied, APPLIED_S)
+        except TimeoutError:
+            self._break(f"version {self.found.version} is not in force")
+
     @staticmethod
     async def _is_back(balancer):
         if balancer.process.poll() is not None:
