--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: demo test lint format bench binary clean
+.PHONY: demo test lint format bench binary report clean
 
 $(STAMP): pyproject.toml
 	python3 -m venv $(VENV)
@@ -31,6 +31,11 @@
 	mkdir -p build
 	$(PY) -m benchmarks --output build/bench.json $(BENCH_ARGS)
 
+# make report ARGS="journal/A.json journal/B.json --seconds DAY.txt"
+report: $(STAMP)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -e '.[report]'
+	$(PY) -m benchmarks.report $(ARGS)
+
 binary: $(STAMP)
 	mkdir -p build
 	rm -rf build/lib build/bdist.*
