--- a/tests/flow/test_core.py
+++ b/tests/flow/test_core.py
@@ -507,11 +507,7 @@
 
 
 def test_evidence_of_before_a_pause_resets_nothing():
-    """After a pause packets of clients may be read before beacons.
-
-    The run of seed 1 of the soak, which freezes processes and kills servers,
-    broke a promise once in 17 plays.
-    """
+    """After a pause packets of clients may be read before beacons."""
     core = make_zones()
     core.reach.beacon(0, "too")
     stuck, now_ms, out = silence(core, {3, 4}, flows=6)
