--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -192,6 +192,17 @@
         self._abort_connections()
         self._notify_watchers()
 
+    async def reset(self) -> None:
+        """Remove contents, faults, leases and writes that are delayed."""
+        for timer in self._timers | {t for _, t in self._leases.values()}:
+            timer.cancel()
+        self._timers.clear()
+        self._leases.clear()
+        self.faults = Faults()
+        await self.set_outage(False)
+        self._snapshot = State()
+        self.restore_snapshot()
+
     def compact(self) -> None:
         """Discard the history up to the current revision."""
         self.state.compacted = self.state.revision
@@ -477,10 +488,7 @@
             data = None if value is None else json.dumps(value).encode()
             self.set_instance(name, data)
         elif callback == "reset":
-            self.faults = Faults()
-            await self.set_outage(False)
-            self._snapshot = State()
-            self.restore_snapshot()
+            await self.reset()
         elif callback == "keep-copy":
             self.take_snapshot()
         elif callback == "restore-copy":
