Reset flows at backend servers that are gone for good

Cause: a request at a server that had crashed silently waited for its deadline. Ruled out: resets by silence alone (broke FLOW once; a full link looks the same) and by the removal of the entry alone (entries lapse while the store is down or the server is cut off from it). Change: a flow is reset when the store removed its server's entry, the store has answered for 2.5 s, the server has not answered since, other servers answer without losses, and two retransmissions of this flow, or of two others, had no answer. Before: tests/flow/test_liveness.py fails in its three resets; after: it passes, with the eight cases in which nothing may be reset.

--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -7,6 +7,7 @@
 from cyclamenridge.flow import directory as directory_lib
 from cyclamenridge.flow import effects
 from cyclamenridge.flow import latency
+from cyclamenridge.flow import liveness
 from cyclamenridge.flow import log as log_port
 from cyclamenridge.flow import packet as packet_lib
 from cyclamenridge.flow import placement
@@ -28,8 +29,6 @@
 # Clients retransmit data after 200 ms without an acknowledgement. Old data
 # that arrives sooner than this after newer data was reordered by the network.
 MIN_RETRANSMISSION_MS = 150
-# A server that answered within this time counts as reachable.
-RECENT_ANSWER_MS = 600
 
 
 class FlowCore:
@@ -61,6 +60,9 @@
         self.admission = admission_lib.AdmissionControl(
             self.directory, self.server_stats
         )
+        self._liveness = liveness.ServerLiveness(
+            self.directory, self.server_stats
+        )
         # Monotonic time of the last answer of the store.
         self.last_store_answer_ms = 0
         # Whether the last call to the store failed.
@@ -93,6 +95,19 @@
         self._preferred_routes = table.preferred_keys()
         return True
 
+    def record_store_answer(self, now_ms: int) -> bool:
+        """Record an answer of the store; return whether it was lost before."""
+        self.last_store_answer_ms = now_ms
+        was_lost, self.store_lost = self.store_lost, False
+        if was_lost:
+            self._liveness.store_returned_ms = now_ms
+        return was_lost
+
+    def record_store_failure(self) -> bool:
+        """Record a failed call; return whether it is the first in a row."""
+        is_first, self.store_lost = not self.store_lost, True
+        return is_first
+
     def handle_packet(
         self, now_ms: int, packet: packet_lib.Packet, datagram: bytes = b""
     ) -> effects.Effects:
@@ -364,18 +379,11 @@
             )
             return effects.RESET
         rec = self._track_packet(now_ms, packet, server)
-        if rec is not None and self._should_reset(now_ms, packet, rec, server):
-            self.counters["flows_given_up"] += 1
-            stats = self.server_stats.for_server(server.entry.name)
-            self._log.flow_event(
-                now_ms,
-                "flow_given_up",
-                packet,
-                server=server.entry.name,
-                failure_domain=server.entry.failure_domain,
-                answered_ms_ago=stats.answered_ms_ago(now_ms),
-            )
-            return effects.RESET
+        if rec is not None and (
+            self._is_at_gone_server(now_ms, packet, rec, server)
+            or self._should_reset(now_ms, packet, rec, server)
+        ):
+            return self._give_up_flow(now_ms, packet, rec, server)
         if (
             rec is not None
             and rec.waiting is not None
@@ -386,6 +394,46 @@
             return effects.DROP
         return self._forward(server)
 
+    def _give_up_flow(
+        self,
+        now_ms: int,
+        packet: packet_lib.Packet,
+        rec: tracking.FlowRecord,
+        server: directory_lib.Server,
+    ) -> effects.Effects:
+        self.counters["flows_given_up"] += 1
+        stats = self.server_stats.for_server(server.entry.name)
+        self._log.flow_event(
+            now_ms,
+            "flow_given_up",
+            packet,
+            server=server.entry.name,
+            failure_domain=server.entry.failure_domain,
+            answered_ms_ago=stats.answered_ms_ago(now_ms),
+            removed=server.removed_ms is not None,
+        )
+        self._clear_pending(now_ms, rec)
+        return effects.RESET
+
+    def _is_at_gone_server(
+        self,
+        now_ms: int,
+        packet: packet_lib.Packet,
+        rec: tracking.FlowRecord,
+        server: directory_lib.Server,
+    ) -> bool:
+        """Return whether a request waits for a server that is gone.
+
+        Its client learns of the failure now and not at its deadline. A
+        request that must not run twice is not repeated by its client.
+        """
+        return packet.length > 0 and self._liveness.is_gone(
+            now_ms,
+            server,
+            store_lost=self.store_lost,
+            retransmissions=rec.retransmissions,
+        )
+
     def _should_reset(
         self,
         now_ms: int,
@@ -426,7 +474,7 @@
         return any(
             now_ms
             - self.server_stats.for_server(other.entry.name).last_answer_ms
-            < RECENT_ANSWER_MS
+            < liveness.RECENT_ANSWER_MS
             for other in self.directory.ready_servers(server.entry.service)
             if other is not server
         )
@@ -600,10 +648,11 @@
             self.server_stats.for_server(rec.server.entry.name).open_flows -= 1
             rec.server = None
 
-    def sweep(self, now_ms: int) -> None:
+    def sweep(self, now_ms: int) -> list[effects.Release]:
         """Drop expired flows, overdue requests and servers removed long ago.
 
-        To be called every ``SWEEP_INTERVAL_MS``.
+        To be called every ``SWEEP_INTERVAL_MS``. Returns resets of flows that
+        wait for a server that is gone.
         """
         self.reachability.record_activity(now_ms)
         idle_ms = 15_000 if self.routes is None else self.routes.idle_ms
@@ -622,6 +671,42 @@
             self._end_flow(now_ms, self._flows.pop(key))
         for name in self.directory.evict_removed(now_ms):
             self.server_stats.discard(name)
+        return self._reset_flows_at_gone_servers(now_ms)
+
+    def _reset_flows_at_gone_servers(
+        self, now_ms: int
+    ) -> list[effects.Release]:
+        """Reset the pending flows whose next retransmission may be far off."""
+        resets = []
+        for key, rec in list(self._flows.items()):
+            server = rec.pending_server
+            if (
+                server is None
+                or server is not rec.server
+                or server.removed_ms is None
+                or not self._liveness.is_gone(
+                    now_ms,
+                    server,
+                    store_lost=self.store_lost,
+                    retransmissions=rec.retransmissions,
+                )
+            ):
+                continue
+            client, client_port, host, port = key
+            packet = packet_lib.Packet(
+                client,
+                client_port,
+                host,
+                port,
+                packet_lib.ACK,
+                rec.next_seq or 0,
+                rec.acked or 0,
+                0,
+                server.token,
+            )
+            out = self._give_up_flow(now_ms, packet, rec, server)
+            resets.append(effects.Release(packet, b"", out))
+        return resets
 
     @staticmethod
     def _forward(server: directory_lib.Server) -> effects.Effects:
--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -319,6 +319,6 @@
         table = self._core.server_stats
         for sign, items in ((-1, peer.loads), (1, loads)):
             for name, requests in items.items():
-                if sign > 0 or name in table:
+                if sign > 0 or table.find(name) is not None:
                     table.for_server(name).peer_pending += sign * requests
         peer.loads = loads
--- a/src/cyclamenridge/flow/server_stats.py
+++ b/src/cyclamenridge/flow/server_stats.py
@@ -120,8 +120,9 @@
         """Return the statistics of a server, new ones if there are none."""
         return self._servers[name]
 
-    def __contains__(self, name: str) -> bool:
-        return name in self._servers
+    def find(self, name: str) -> ServerStats | None:
+        """Return the statistics of a server, None if there are none."""
+        return self._servers.get(name)
 
     def items(self) -> Iterable[tuple[str, ServerStats]]:
         """Return names and statistics of all servers."""
--- a/src/cyclamenridge/flow_app.py
+++ b/src/cyclamenridge/flow_app.py
@@ -216,4 +216,5 @@
             ticks += 1
             self._log.flush()
             if ticks % (core_lib.SWEEP_INTERVAL_MS // TICK_INTERVAL_MS) == 0:
-                self.core.sweep(self.clock.now_ms())
+                for item in self.core.sweep(self.clock.now_ms()):
+                    self._carry_out(item.packet, item.datagram, item.effects)
--- a/src/cyclamenridge/store_follower.py
+++ b/src/cyclamenridge/store_follower.py
@@ -175,13 +175,10 @@
             )
 
     def _note_store_answer(self) -> None:
-        self._core.last_store_answer_ms = self._clock.now_ms()
-        if self._core.store_lost:
-            self._core.store_lost = False
+        if self._core.record_store_answer(self._clock.now_ms()):
             self._log.process_event("store_regained")
 
     def _note_store_failure(self, event: str, exc: errors.StoreError) -> None:
         self._core.counters["store_failures"] += 1
-        if not self._core.store_lost:
-            self._core.store_lost = True
+        if self._core.record_store_failure():
             self._log.process_event(event, error=str(exc))
