Check what a pause, a stale read or a lost part may have made out of date

Change: see the tests. A SYN is refused only if this process read it in time, before the client's first retransmission, and sees the ends of most requests. The first call of a watch returns at once and confirms the state before the process serves. The clock is CLOCK_BOOTTIME.

--- a/src/cyclamenridge/caller/exchange.py
+++ b/src/cyclamenridge/caller/exchange.py
@@ -114,6 +114,11 @@
         self.ack_part = None
         if reply.seq != self._seq or reply.check != self._check:
             return
+        if reply.part >= reply.parts and (
+            reply.outcome is not caller.Outcome.PENDING
+        ):
+            # A part outside of its answer could make it look complete.
+            return
         if self.outcome is not None:
             # The acknowledgement of the complete reply was lost.
             self.ack_part = self._acked_parts
--- a/src/cyclamenridge/clock.py
+++ b/src/cyclamenridge/clock.py
@@ -13,11 +13,15 @@
 
 
 class MonotonicClock(Clock):
-    """Monotonic clock of the operating system."""
+    """Monotonic clock of the operating system.
+
+    It includes the time during which the machine was suspended, so that
+    leases and time budgets run out meanwhile.
+    """
 
     def now_ms(self) -> int:
         """Return the monotonic time in milliseconds."""
-        return time.monotonic_ns() // 1_000_000
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
 class ManualClock(Clock):
--- a/src/cyclamenridge/flow/admission.py
+++ b/src/cyclamenridge/flow/admission.py
@@ -44,6 +44,8 @@
 # packets are spread over several balancers.
 MAX_LOST_PART = 0.25
 INITIAL_LOST_PART = 0.5
+# Weight of a flow that another balancer opened in that part.
+FOREIGN_FLOW_WEIGHT = 0.2
 # Mean latencies before the first answer.
 INITIAL_HANDSHAKE_MS = 5.0
 INITIAL_ANSWER_MS = 50.0
@@ -54,8 +56,8 @@
 # The same for routes that others rank below. Requests of the lower rank make
 # room for them, so that a longer wait mostly ends with a slot.
 PREFERRED_WAIT_PART = 1 / 3
-# Clients stop opening a flow after 1.4 s.
-MAX_SYN_WAIT_MS = 1000
+# After the retransmission at 200 ms, a SYN cannot be refused any more.
+MAX_SYN_WAIT_MS = 150
 # A request on an open flow is late once it has waited for this part of its
 # target latency; the rest is needed at the server.
 TIMELY_WAIT_PART = 0.5
@@ -205,6 +207,13 @@
         self._started = remaining
         self.in_progress = len(remaining)
 
+    def record_foreign_flow(self) -> None:
+        """Record a flow that another balancer opened.
+
+        The routers may spread the packets of each flow over balancers.
+        """
+        self.lost_part += FOREIGN_FLOW_WEIGHT * (1 - self.lost_part)
+
     def record_start(
         self, now_ms: int, *, is_syn: bool, aim_ms: int
     ) -> Started:
--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -24,6 +24,8 @@
 
 # Clients give up opening a flow after 1.4 s.
 OPENING_TIMEOUT_MS = 1500
+# Clients retransmit a SYN for the first time after this.
+SYN_RETRANSMISSION_MS = 200
 SWEEP_INTERVAL_MS = 500
 RELEASE_INTERVAL_MS = 10
 # Clients retransmit data after 200 ms without an acknowledgement. Old data
@@ -127,6 +129,9 @@
         while ``admission.waiting_count`` is not 0.
         """
         released: list[effects.Release] = []
+        self.reachability.record_activity(now_ms)
+        if self.reachability.is_resuming(now_ms):
+            return released
         for item in self.admission.pop_expired(now_ms):
             released += self._expire_waiting(now_ms, item)
         while (item := self.admission.pop(now_ms)) is not None:
@@ -145,7 +150,12 @@
     ) -> effects.Effects:
         if self.routes is None:
             self.counters["packets_before_configuration"] += 1
-            return effects.DROP
+            # The client shall not wait while neither the store nor a peer
+            # answers. Another balancer may have forwarded an earlier SYN.
+            is_first = packet.ack == 0
+            return (
+                effects.RESET if self.store_lost and is_first else effects.DROP
+            )
         route = self.routes.find(packet.host, packet.port)
         if route is None:
             self.counters["flows_without_route"] += 1
@@ -160,7 +170,9 @@
                 self._end_flow(now_ms, rec)
             rec = tracking.FlowRecord(now_ms, route)
             rec.syn_seq = packet.seq
-            rec.saw_first_syn = packet.ack == 0
+            rec.saw_first_syn = (
+                packet.ack == 0 and not self.reachability.may_read_late(now_ms)
+            )
             rec.next_seq = (packet.seq + 1) & 0xFFFFFFFF
             self._flows[key] = rec
             self.counters["flows_opened"] += 1
@@ -191,7 +203,9 @@
         )
         if not self.directory.ready_servers(service):
             return self._refuse_without_server(now_ms, packet, rec, service)
-        if self.admission.can_start(
+        if not self.reachability.is_resuming(
+            now_ms
+        ) and self.admission.can_start(
             now_ms, service, None, is_preferred=self._is_preferred(route)
         ):
             return self._place_flow(now_ms, packet, rec, service)
@@ -254,9 +268,13 @@
         """Reset a SYN that cannot be served in time.
 
         A SYN that another balancer may have forwarded goes to a server, since
-        a reset could reach the client after the handshake.
+        a reset could reach the client after the handshake. That is possible
+        once the client has sent a retransmission.
         """
-        if not rec.is_unsent():
+        if (
+            not rec.is_unsent()
+            or now_ms - rec.opened_ms >= SYN_RETRANSMISSION_MS
+        ):
             return self._place_flow(now_ms, packet, rec, service)
         self.counters["openings_refused"] += 1
         self._log.flow_event(
@@ -498,6 +516,7 @@
                 route = self.routes.find(packet.host, packet.port)
             rec = tracking.FlowRecord(now_ms, route)
             self._flows[key] = rec
+            self.admission.window(server.entry.service).record_foreign_flow()
         rec.last_packet_ms = now_ms
         if rec.server is not None and rec.server is not server:
             self._change_server(rec, server)
--- a/src/cyclamenridge/flow/reachability.py
+++ b/src/cyclamenridge/flow/reachability.py
@@ -18,6 +18,12 @@
 MIN_PAUSE_MS = 600
 # Time after a start or a pause until beacons have arrived again.
 RESUME_GRACE_MS = 1000
+# After such a time without activity, packets that are read may be older than
+# the client's next retransmission.
+MIN_DELAY_MS = 160
+# Time after a pause in which queued packets are read. No request starts
+# meanwhile, so that changes of the store are read first.
+RESUME_SETTLE_MS = 50
 
 
 class _DomainEvidence:
@@ -46,19 +52,33 @@
         self._failure_domain = failure_domain
         self._last_active_ms: int | None = None
         self._resumed_ms = 0
+        self._settled_ms = 0
+        self._delayed_until_ms = 0
         self._domains: dict[str, _DomainEvidence] = collections.defaultdict(
             _DomainEvidence
         )
 
     def record_activity(self, now_ms: int) -> None:
         """Record that this process runs; detects its pauses."""
-        if (
-            self._last_active_ms is None
-            or now_ms - self._last_active_ms > MIN_PAUSE_MS
-        ):
+        if self._last_active_ms is None:
             self._resumed_ms = now_ms
+        else:
+            gap_ms = now_ms - self._last_active_ms
+            if gap_ms > MIN_PAUSE_MS:
+                self._resumed_ms = now_ms
+                self._settled_ms = now_ms + RESUME_SETTLE_MS
+            if gap_ms > MIN_DELAY_MS:
+                self._delayed_until_ms = now_ms + RESUME_SETTLE_MS
         self._last_active_ms = now_ms
 
+    def is_resuming(self, now_ms: int) -> bool:
+        """Return whether the process just woke up from a pause."""
+        return now_ms < self._settled_ms
+
+    def may_read_late(self, now_ms: int) -> bool:
+        """Return whether a packet may have waited in the socket for long."""
+        return now_ms < self._delayed_until_ms
+
     def record_beacon(self, now_ms: int, domain: str) -> None:
         """Record a beacon of a balancer of a domain."""
         self._domains[domain].last_beacon_ms = now_ms
--- a/src/cyclamenridge/flow_app.py
+++ b/src/cyclamenridge/flow_app.py
@@ -214,6 +214,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_MS / 1000)
             ticks += 1
+            self.core.reachability.record_activity(self.clock.now_ms())
             self._log.flush()
             if ticks % (core_lib.SWEEP_INTERVAL_MS // TICK_INTERVAL_MS) == 0:
                 for item in self.core.sweep(self.clock.now_ms()):
--- a/src/cyclamenridge/platform/store.py
+++ b/src/cyclamenridge/platform/store.py
@@ -16,6 +16,9 @@
 CALL_TIMEOUT_MS = 2500
 # A watch times out this long after its ``wait_ms``.
 WATCH_MARGIN_MS = 1000
+# The first call of a watch confirms the state that was read before, so it
+# does not wait for a change.
+_FIRST_WAIT_MS = 1
 _MAX_PAGES = 1000
 
 _T = TypeVar("_T")
@@ -172,21 +175,23 @@
         client = http.HttpClient(self._address)
         self._watches.add(client)
         after = start_revision - 1
+        wait_ms = _FIRST_WAIT_MS
         try:
             while True:
                 query = urllib.parse.urlencode(
                     {
                         "prefix": key,
                         "after": after,
-                        "wait_ms": self._watch_wait_ms,
+                        "wait_ms": wait_ms,
                     }
                 )
                 response = await _call(
                     client,
                     "GET",
                     f"/kv-watch?{query}",
-                    timeout_ms=self._watch_wait_ms + WATCH_MARGIN_MS,
+                    timeout_ms=wait_ms + WATCH_MARGIN_MS,
                 )
+                wait_ms = self._watch_wait_ms
                 if response.status == 410:
                     raise store.WatchLostError(
                         f"history after revision {after} was compacted"
--- a/src/cyclamenridge/ports/store.py
+++ b/src/cyclamenridge/ports/store.py
@@ -84,8 +84,9 @@
 class WatchBatch(msgspec.Struct, frozen=True):
     """Changes in the order of their revisions.
 
-    The first batch of a watch has no changes; it confirms that the store
-    accepted the watch.
+    The first batch of a watch arrives at once, with the changes since the
+    start revision if there are any. It confirms that the store accepted the
+    watch.
     """
 
     revision: int
--- a/src/cyclamenridge/store_follower.py
+++ b/src/cyclamenridge/store_follower.py
@@ -16,6 +16,8 @@
 
 _INITIAL_BACKOFF_MS = 100
 _MAX_BACKOFF_MS = 1500
+# A process that cannot place flows is of no use until the store answers.
+_MAX_BACKOFF_WITHOUT_STATE_MS = 300
 
 
 class StoreFollower(component.Component):
@@ -42,6 +44,8 @@
         self._coalesce_ms = coalesce_ms
         self._on_update = on_update
         self._task: asyncio.Task[None] | None = None
+        # Whether the store answered since the last failure.
+        self._has_answer = False
 
     async def start(self) -> None:
         """Start the task that reads and watches the store."""
@@ -65,7 +69,6 @@
                 if needs_read:
                     await self._read_all(stale=stale)
                     needs_read = False
-                    backoff_ms = _INITIAL_BACKOFF_MS
                 await self._watch()
             except store_port.WatchLostError as exc:
                 self._note_store_failure("store_history_lost", exc)
@@ -74,10 +77,21 @@
                 needs_read = True
             except errors.StoreError as exc:
                 self._note_store_failure("store_lost", exc)
+            if not needs_read:
+                # A read without a confirmation is better than no state.
+                self._on_update()
+            if self._has_answer:
+                self._has_answer = False
+                backoff_ms = _INITIAL_BACKOFF_MS
             await asyncio.sleep(
                 self._rng.uniform(backoff_ms / 2, backoff_ms) / 1000
             )
-            backoff_ms = min(backoff_ms * 2, _MAX_BACKOFF_MS)
+            backoff_ms = min(backoff_ms * 2, self._max_backoff_ms())
+
+    def _max_backoff_ms(self) -> int:
+        if self._core.can_place_flows:
+            return _MAX_BACKOFF_MS
+        return _MAX_BACKOFF_WITHOUT_STATE_MS
 
     async def _read_all(self, *, stale: bool) -> None:
         result = await self._store.range("", stale=stale)
@@ -104,20 +118,24 @@
             put=put[:20],
             removed=removed[:20],
         )
-        self._on_update()
 
     async def _watch(self) -> None:
         batches = self._store.watch(
             "", start_revision=self._core.directory.revision + 1, prefix=True
         )
+        is_confirmed = False
         async for batch in batches:
             self._note_store_answer()
             now_ms = self._clock.now_ms()
             for change in batch.changes:
                 self._apply_change(now_ms, change)
             self._core.directory.advance_revision(batch.revision)
-            if batch.changes:
+            if batch.changes or not is_confirmed:
+                # A stale read may list servers that have left. The first
+                # batch brings what has changed since.
                 self._on_update()
+            is_confirmed = True
+            if batch.changes:
                 await asyncio.sleep(self._coalesce_ms / 1000)
 
     def _apply_change(self, now_ms: int, change: store_port.Change) -> None:
@@ -175,6 +193,7 @@
             )
 
     def _note_store_answer(self) -> None:
+        self._has_answer = True
         if self._core.record_store_answer(self._clock.now_ms()):
             self._log.process_event("store_regained")
 
--- a/src/cyclamenridge/wire/token.py
+++ b/src/cyclamenridge/wire/token.py
@@ -97,8 +97,14 @@
         ) = _BODY.unpack(body)
         if version != _FORMAT_VERSION:
             raise errors.WireError(f"token version {version} is unknown")
+        try:
+            known_type = TokenType(token_type)
+        except ValueError as exc:
+            raise errors.WireError(
+                f"token type {token_type} is unknown"
+            ) from exc
         return Token(
-            type=TokenType(token_type),
+            type=known_type,
             service=service,
             owner=address_lib.Address(
                 f"{host[0]}.{host[1]}.{host[2]}.{host[3]}", port
--- a/tests/caller/test_exchange.py
+++ b/tests/caller/test_exchange.py
@@ -127,3 +127,20 @@
     assert buffer.poll(reorder_lib.GAP_TIMEOUT_MS - 1) == []
     (item,) = buffer.poll(reorder_lib.GAP_TIMEOUT_MS)
     assert (item.seq, item.missed) == (4, 2)
+
+
+def test_a_part_outside_of_its_answer_is_ignored():
+    """It once made an answer with a missing part look complete (P3)."""
+    exchange = make_exchange()
+    first, _, last = reply_parts(b"x", b"a" * 30)
+    outside = caller.Reply(
+        1,
+        caller.payload_check(b"x"),
+        Outcome.ANSWERED,
+        part=3,
+        parts=3,
+        payload=b"b",
+    )
+    for reply in (first, outside, last):
+        exchange.handle_reply(10, reply)
+    assert exchange.outcome is None
--- /dev/null
+++ b/tests/platform/test_store_follower.py
@@ -0,0 +1,174 @@
+import asyncio
+import contextlib
+import itertools
+import json
+import random
+import time
+
+from cyclamenridge import clock as clock_lib
+import cyclamenridge.errors as errors
+from cyclamenridge.platform import records
+from cyclamenridge.ports import store as store_port
+import cyclamenridge.store_follower as store_follower
+from tests.flow import builders
+
+CONFIG = {
+    "version": 4,
+    "routes": [],
+    "services": [{"name": "counter"}],
+    "limits": {"idle_timeout_ms": 15_000},
+}
+
+
+def server_value(state="ready"):
+    return json.dumps(
+        {
+            "service": "counter",
+            "address": "10.0.0.1:80",
+            "zone": "bne",
+            "slots": 2,
+            "state": state,
+            "warmup_left_ms": 0,
+        }
+    ).encode()
+
+
+class ScriptedStore(store_port.KeyValueStore):
+    """Store whose reads and watch batches are given in advance.
+
+    :ivar reads: results of ``range``, or the error to raise
+    :ivar batches: queue of batches of watches, or of errors to raise
+    """
+
+    def __init__(self, *reads):
+        self.reads = list(reads)
+        self.read_times = []
+        self.batches = asyncio.Queue()
+
+    async def range(self, prefix, *, stale=False):
+        self.read_times.append(time.monotonic())
+        result = self.reads.pop(0) if len(self.reads) > 1 else self.reads[0]
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+    async def watch(self, key, *, start_revision, prefix=False):
+        while True:
+            item = await self.batches.get()
+            if isinstance(item, Exception):
+                raise item
+            yield item
+
+    async def close(self):
+        pass
+
+    async def get(self, key, *, revision=0):
+        raise NotImplementedError
+
+    async def compare_and_put(self, key, value, *, mod_revision, lease_id=0):
+        raise NotImplementedError
+
+    async def grant_lease(self, ttl_s):
+        raise NotImplementedError
+
+    async def keep_lease_alive(self, lease_id):
+        raise NotImplementedError
+
+    async def revoke_lease(self, lease_id):
+        raise NotImplementedError
+
+
+def state_at(revision):
+    return store_port.RangeResult(
+        revision,
+        (
+            store_port.KeyValue("op/config", json.dumps(CONFIG).encode(), 2),
+            store_port.KeyValue("servers/i-1", server_value(), 3),
+        ),
+    )
+
+
+@contextlib.asynccontextmanager
+async def running_follower(store):
+    """Yield a core and the number of servers at each update."""
+    core = builders.make_core(config=None)
+    updates = []
+    follower = store_follower.StoreFollower(
+        store,
+        records.PlatformRecordDecoder(),
+        core,
+        clock=clock_lib.MonotonicClock(),
+        rng=random.Random(1),
+        log=builders.ListLog(),
+        coalesce_ms=1,
+        on_update=lambda: updates.append(
+            len(core.directory.ready_servers("counter"))
+        ),
+    )
+    await follower.start()
+    try:
+        yield core, updates
+    finally:
+        await follower.stop()
+
+
+def test_a_start_from_a_stale_read_serves_after_the_changes_since():
+    """A server that had left was in use again after a restart."""
+
+    async def run():
+        store = ScriptedStore(state_at(5))
+        async with running_follower(store) as (core, updates):
+            await asyncio.sleep(0.05)
+            assert updates == [], "the read may be seconds old"
+            drained = store_port.Change(
+                "servers/i-1", server_value("draining"), 7
+            )
+            store.batches.put_nowait(store_port.WatchBatch(7, (drained,)))
+            await asyncio.sleep(0.05)
+            assert updates == [0]
+            assert core.directory.revision == 7
+
+    asyncio.run(run())
+
+
+def test_a_stale_read_is_used_when_the_store_fails_before_the_watch():
+    async def run():
+        store = ScriptedStore(state_at(5))
+        async with running_follower(store) as (core, updates):
+            store.batches.put_nowait(errors.StoreUnavailableError("down"))
+            await asyncio.sleep(0.05)
+            assert updates[0] == 1
+            assert core.can_place_flows
+            assert core.store_lost
+
+    asyncio.run(run())
+
+
+def test_a_process_without_state_reads_often():
+    """Its back-off once slept over the return of the store."""
+
+    async def run():
+        store = ScriptedStore(errors.StoreUnavailableError("down"))
+        async with running_follower(store):
+            await asyncio.sleep(2)
+        times = store.read_times
+        gaps = [b - a for a, b in itertools.pairwise(times)]
+        assert max(gaps) < 0.4
+
+    asyncio.run(run())
+
+
+def test_the_back_off_starts_anew_after_a_watch_that_worked():
+    """It only did so after a read, so that later failures waited longer."""
+
+    async def run():
+        store = ScriptedStore(state_at(5))
+        async with running_follower(store) as (core, _):
+            for _ in range(6):
+                store.batches.put_nowait(store_port.WatchBatch(5, ()))
+                store.batches.put_nowait(errors.StoreUnavailableError("cut"))
+            await asyncio.sleep(1.5)
+            assert store.batches.empty()
+            assert core.directory.revision == 5
+
+    asyncio.run(run())
--- a/tests/wire/test_token.py
+++ b/tests/wire/test_token.py
@@ -46,3 +46,11 @@
     data[index] ^= mask
     with pytest.raises(errors.WireError):
         codec.decode(bytes(data))
+
+
+def test_an_authentic_token_of_an_unknown_type_is_refused():
+    """A later version may define more types."""
+    codec = token.TokenCodec((b"key",))
+    data = codec.encode(make_token(type=9))
+    with pytest.raises(errors.WireError, match="type 9"):
+        codec.decode(data)
