Split the flow core, and follow the newest configuration after a wait

A SYN that waited kept the service that its route had before a change of the configuration. Change: opening.py decides on SYNs, flow_table.py keeps records and load in step, evidence.py records answers and losses, service_window.py limits one service; core.py has what is left. A SYN that has waited looks its route up again. Before: test_a_syn_that_waited_follows_the_newest_configuration fails in both cases; after: tests/flow and tests/platform pass.

--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -6,9 +6,12 @@
 from cyclamenridge.flow import admission as admission_lib
 from cyclamenridge.flow import directory as directory_lib
 from cyclamenridge.flow import effects
+from cyclamenridge.flow import evidence
+from cyclamenridge.flow import flow_table
 from cyclamenridge.flow import latency
 from cyclamenridge.flow import liveness
 from cyclamenridge.flow import log as log_port
+from cyclamenridge.flow import opening
 from cyclamenridge.flow import packet as packet_lib
 from cyclamenridge.flow import placement
 from cyclamenridge.flow import reachability as reachability_lib
@@ -24,8 +27,6 @@
 
 # Clients give up opening a flow after 1.4 s.
 OPENING_TIMEOUT_MS = 1500
-# Clients retransmit a SYN for the first time after this.
-SYN_RETRANSMISSION_MS = 200
 SWEEP_INTERVAL_MS = 500
 RELEASE_INTERVAL_MS = 10
 # Clients retransmit data after 200 ms without an acknowledgement. Old data
@@ -58,7 +59,6 @@
         self.server_stats = stats_lib.ServerStatsTable()
         self.reachability = reachability_lib.DomainReachability(failure_domain)
         self.routes: routes_lib.RouteTable | None = None
-        self._preferred_routes: frozenset[tuple[int, int]] = frozenset()
         self.admission = admission_lib.AdmissionControl(
             self.directory, self.server_stats
         )
@@ -69,20 +69,33 @@
         self.last_store_answer_ms = 0
         # Whether the last call to the store failed.
         self.store_lost = False
-        self._placement = placement.Placement(
-            selector=selector,
+        self._log = log
+        self._table = flow_table.FlowTable(self.server_stats, self.admission)
+        self._evidence = evidence.ServerEvidence(
+            self.server_stats, self.reachability, log
+        )
+        self._opener = opening.FlowOpener(
+            directory=self.directory,
             server_stats=self.server_stats,
             reachability=self.reachability,
+            admission=self.admission,
+            placement=placement.Placement(
+                selector=selector,
+                server_stats=self.server_stats,
+                reachability=self.reachability,
+                rng=rng,
+            ),
+            evidence=self._evidence,
+            table=self._table,
+            counters=self.counters,
             rng=rng,
+            log=log,
         )
-        self._rng = rng
-        self._log = log
-        self._flows: dict[tracking.FlowKey, tracking.FlowRecord] = {}
 
     @property
     def flow_count(self) -> int:
         """Number of flows that this process tracks."""
-        return len(self._flows)
+        return len(self._table.records)
 
     @property
     def can_place_flows(self) -> bool:
@@ -94,7 +107,7 @@
         if self.routes is not None and table.version <= self.routes.version:
             return False
         self.routes = table
-        self._preferred_routes = table.preferred_keys()
+        self._opener.set_routes(table)
         return True
 
     def record_store_answer(self, now_ms: int) -> bool:
@@ -119,9 +132,24 @@
         """
         self.reachability.record_activity(now_ms)
         if packet.flags & SYN:
-            return self._handle_syn(now_ms, packet, datagram)
+            if self.routes is None:
+                return self._refuse_without_routes(packet)
+            return self._opener.handle_syn(now_ms, packet, datagram)
         return self._handle_established(now_ms, packet, datagram)
 
+    def _refuse_without_routes(
+        self, packet: packet_lib.Packet
+    ) -> effects.Effects:
+        """Reset a SYN while neither the store nor a peer answers.
+
+        Another balancer may have forwarded the first SYN of a client that
+        sends a retransmission.
+        """
+        self.counters["packets_before_configuration"] += 1
+        if self.store_lost and packet.ack == 0:
+            return effects.RESET
+        return effects.DROP
+
     def release(self, now_ms: int) -> list[effects.Release]:
         """Return the packets that have waited and what to do with them.
 
@@ -145,166 +173,25 @@
             released += self._start_waiting(now_ms, item)
         return released
 
-    def _handle_syn(
-        self, now_ms: int, packet: packet_lib.Packet, datagram: bytes
-    ) -> effects.Effects:
-        if self.routes is None:
-            self.counters["packets_before_configuration"] += 1
-            # The client shall not wait while neither the store nor a peer
-            # answers. Another balancer may have forwarded an earlier SYN.
-            is_first = packet.ack == 0
-            return (
-                effects.RESET if self.store_lost and is_first else effects.DROP
-            )
-        route = self.routes.find(packet.host, packet.port)
-        if route is None:
-            self.counters["flows_without_route"] += 1
-            self._log.flow_event(
-                now_ms, "no_route", packet, config=self.routes.version
-            )
-            return effects.RESET
-        key = tracking.flow_key(packet)
-        rec = self._flows.get(key)
-        if rec is None or rec.syn_seq != packet.seq:
-            if rec is not None:
-                self._end_flow(now_ms, rec)
-            rec = tracking.FlowRecord(now_ms, route)
-            rec.syn_seq = packet.seq
-            rec.saw_first_syn = (
-                packet.ack == 0 and not self.reachability.may_read_late(now_ms)
-            )
-            rec.next_seq = (packet.seq + 1) & 0xFFFFFFFF
-            self._flows[key] = rec
-            self.counters["flows_opened"] += 1
-        rec.last_packet_ms = now_ms
-        if rec.server is not None:
-            # The handshake is complete; this retransmission arrived late.
-            self.counters["late_copies"] += 1
-            return effects.DROP
-        if (
-            rec.tried_servers
-            and now_ms - rec.pending_since_ms < MIN_RETRANSMISSION_MS
-        ):
-            # After a pause of this process, a SYN and its retransmissions are
-            # read at once: the server had no time to answer.
-            self.counters["late_copies"] += 1
-            return effects.DROP
-        if rec.is_refused:
-            return effects.RESET if rec.is_unsent() else effects.DROP
-        for server in rec.tried_servers:
-            self._note_retransmission(now_ms, key, server)
-        if rec.waiting is not None:
-            self.counters["late_copies"] += 1
-            return effects.DROP
-        service = (
-            rec.tried_servers[0].entry.service
-            if rec.tried_servers
-            else route.pick_service(self._rng)
-        )
-        if not self.directory.ready_servers(service):
-            return self._refuse_without_server(now_ms, packet, rec, service)
-        if not self.reachability.is_resuming(
-            now_ms
-        ) and self.admission.can_start(
-            now_ms, service, None, is_preferred=self._is_preferred(route)
-        ):
-            return self._place_flow(now_ms, packet, rec, service)
-        if rec.tried_servers:
-            # Another server is not worth a slot that a first SYN waits for.
-            self.counters["openings_held"] += 1
-            return effects.DROP
-        return self._queue_syn(now_ms, packet, datagram, rec, service)
-
-    def _queue_syn(
-        self,
-        now_ms: int,
-        packet: packet_lib.Packet,
-        datagram: bytes,
-        rec: tracking.FlowRecord,
-        service: str,
-    ) -> effects.Effects:
-        assert rec.route is not None
-        rec.waiting = self.admission.enqueue(
-            now_ms,
-            service=service,
-            route=rec.route,
-            record=rec,
-            server=None,
-            is_preferred=self._is_preferred(rec.route),
-        )
-        if rec.waiting is None:
-            return self._refuse_opening(now_ms, packet, rec, service)
-        rec.waiting.packets.append((packet, datagram))
-        self.counters["openings_queued"] += 1
-        return effects.DROP
-
-    def _is_preferred(self, route: routes_lib.Route) -> bool:
-        return (route.host, route.port) in self._preferred_routes
-
-    def _refuse_without_server(
-        self,
-        now_ms: int,
-        packet: packet_lib.Packet,
-        rec: tracking.FlowRecord,
-        service: str,
-    ) -> effects.Effects:
-        self.counters["flows_without_server"] += 1
-        self._log.flow_event(
-            now_ms,
-            "no_server",
-            packet,
-            service=service,
-            store_revision=self.directory.revision,
-        )
-        return effects.RESET if rec.is_unsent() else effects.DROP
-
-    def _refuse_opening(
-        self,
-        now_ms: int,
-        packet: packet_lib.Packet,
-        rec: tracking.FlowRecord,
-        service: str,
-    ) -> effects.Effects:
-        """Reset a SYN that cannot be served in time.
-
-        A SYN that another balancer may have forwarded goes to a server, since
-        a reset could reach the client after the handshake. That is possible
-        once the client has sent a retransmission.
-        """
-        if (
-            not rec.is_unsent()
-            or now_ms - rec.opened_ms >= SYN_RETRANSMISSION_MS
-        ):
-            return self._place_flow(now_ms, packet, rec, service)
-        self.counters["openings_refused"] += 1
-        self._log.flow_event(
-            now_ms,
-            "opening_refused",
-            packet,
-            service=service,
-            waited_ms=now_ms - rec.opened_ms,
-        )
-        # A copy of this SYN must not open the flow after the reset.
-        rec.is_refused = True
-        return effects.RESET
-
     def _start_waiting(
         self, now_ms: int, item: waiting.Waiting
     ) -> list[effects.Release]:
-        rec = item.record
-        rec.waiting = None
         if item.server is None:
             packet, datagram = item.packets[0]
-            out = self._place_flow(now_ms, packet, rec, item.service)
+            out = self._opener.start_waiting(now_ms, item)
             return [effects.Release(packet, datagram, out)]
+        rec = item.record
+        rec.waiting = None
         if now_ms - item.arrived_ms >= item.route.deadline_ms:
             # The client gave up while this process was paused.
             self.counters["requests_dropped"] += 1
             return []
-        self._set_pending(now_ms, rec, item.server)
+        self._table.set_pending(now_ms, rec, item.server)
         rec.newest_data_ms = now_ms
         return [
-            effects.Release(packet, datagram, self._forward(item.server))
+            effects.Release(
+                packet, datagram, (opening.forward_to(item.server),)
+            )
             for packet, datagram in item.packets
         ]
 
@@ -314,66 +201,10 @@
         if item.server is not None:
             self.counters["requests_expired"] += 1
             return self._start_waiting(now_ms, item)
-        if not self.admission.can_refuse(item.service):
-            return self._start_waiting(now_ms, item)
-        rec = item.record
-        rec.waiting = None
         packet, datagram = item.packets[0]
-        out = self._refuse_opening(now_ms, packet, rec, item.service)
+        out = self._opener.expire_waiting(now_ms, item)
         return [effects.Release(packet, datagram, out)]
 
-    def _place_flow(
-        self,
-        now_ms: int,
-        packet: packet_lib.Packet,
-        rec: tracking.FlowRecord,
-        service: str,
-    ) -> effects.Effects:
-        servers = self._placement.sample_candidates(
-            self.directory.ready_servers(service)
-        )
-        if not servers:
-            return self._refuse_without_server(now_ms, packet, rec, service)
-        chosen = self._placement.select_servers(
-            now_ms, servers, rec.tried_servers
-        )
-        self._set_pending(now_ms, rec, chosen[0], is_syn=True)
-        rec.is_admitted = True
-        out: effects.Effects = ()
-        for server in chosen:
-            rec.tried_servers.append(server)
-            self._log.flow_opening(
-                now_ms,
-                packet,
-                server,
-                self.server_stats.for_server(server.entry.name),
-                0 if self.routes is None else self.routes.version,
-            )
-            out += self._forward(server)
-        return out
-
-    def _note_retransmission(
-        self,
-        now_ms: int,
-        key: tracking.FlowKey,
-        server: directory_lib.Server,
-    ) -> None:
-        """Record the retransmission of an unanswered packet."""
-        name = server.entry.name
-        self.reachability.record_retransmission(
-            now_ms, server.entry.failure_domain, name
-        )
-        if self.server_stats.for_server(name).record_retransmission(
-            now_ms, key
-        ):
-            self._log.server_event(now_ms, "server_silent", name)
-
-    def _note_answer(self, now_ms: int, server: directory_lib.Server) -> None:
-        name = server.entry.name
-        self.reachability.record_answer(now_ms, server.entry.failure_domain)
-        if self.server_stats.for_server(name).record_answer(now_ms):
-            self._log.server_event(now_ms, "server_heard", name)
-
     def _handle_established(
         self, now_ms: int, packet: packet_lib.Packet, datagram: bytes
     ) -> effects.Effects:
@@ -410,7 +241,7 @@
             if not rec.is_repeated:
                 rec.waiting.packets.append((packet, datagram))
             return effects.DROP
-        return self._forward(server)
+        return (opening.forward_to(server),)
 
     def _give_up_flow(
         self,
@@ -430,7 +261,7 @@
             answered_ms_ago=stats.answered_ms_ago(now_ms),
             removed=server.removed_ms is not None,
         )
-        self._clear_pending(now_ms, rec)
+        self._table.clear_pending(now_ms, rec)
         return effects.RESET
 
     def _is_at_gone_server(
@@ -509,13 +340,13 @@
         """
         key = tracking.flow_key(packet)
         name = server.entry.name
-        rec = self._flows.get(key)
+        rec = self._table.records.get(key)
         if rec is None:
             route = None
             if self.routes is not None:
                 route = self.routes.find(packet.host, packet.port)
             rec = tracking.FlowRecord(now_ms, route)
-            self._flows[key] = rec
+            self._table.records[key] = rec
             self.admission.window(server.entry.service).record_foreign_flow()
         rec.last_packet_ms = now_ms
         if rec.server is not None and rec.server is not server:
@@ -523,30 +354,30 @@
         if rec.server is None:
             rec.server = server
             self.server_stats.for_server(name).open_flows += 1
-            self._clear_pending(now_ms, rec, answered=True)
+            self._table.clear_pending(now_ms, rec, answered=True)
             if rec.tried_servers:
                 # This process forwarded the SYN of this handshake.
                 self.latencies["handshake"].record(now_ms - rec.opened_ms)
-                self._note_answer(now_ms, server)
+                self._evidence.record_answer(now_ms, server)
         if packet.flags & RST:
-            self._end_flow(now_ms, rec)
-            del self._flows[key]
+            self._table.end(now_ms, rec)
+            del self._table.records[key]
             return None
         if rec.acked is None:
             rec.acked = packet.ack
         elif tracking.is_seq_after(packet.ack, rec.acked):
             rec.acked = packet.ack
             rec.retransmissions = 0
-            self._note_answer(now_ms, server)
+            self._evidence.record_answer(now_ms, server)
             if rec.pending_server is not None:
                 self.latencies["first_answer"].record(
                     now_ms - rec.pending_since_ms
                 )
-                self._clear_pending(now_ms, rec, answered=True)
+                self._table.clear_pending(now_ms, rec, answered=True)
         if packet.length:
             self._track_data(now_ms, key, packet, rec, server)
         if packet.flags & FIN:
-            self._clear_pending(now_ms, rec)
+            self._table.clear_pending(now_ms, rec)
         return rec
 
     def _change_server(
@@ -588,7 +419,7 @@
             return
         rec.retransmissions += 1
         self.counters["packets_repeated"] += 1
-        self._note_retransmission(now_ms, key, server)
+        self._evidence.record_retransmission(now_ms, key, server)
 
     def _begin_request(
         self,
@@ -611,7 +442,7 @@
                 now_ms,
                 entry.service,
                 server,
-                is_preferred=self._is_preferred(rec.route),
+                is_preferred=self._opener.is_preferred(rec.route),
             )
         ):
             rec.waiting = self.admission.enqueue(
@@ -620,53 +451,13 @@
                 route=rec.route,
                 record=rec,
                 server=server,
-                is_preferred=self._is_preferred(rec.route),
+                is_preferred=self._opener.is_preferred(rec.route),
             )
         if rec.waiting is None:
-            self._set_pending(now_ms, rec, server)
+            self._table.set_pending(now_ms, rec, server)
         else:
             self.counters["requests_queued"] += 1
 
-    def _set_pending(
-        self,
-        now_ms: int,
-        rec: tracking.FlowRecord,
-        server: directory_lib.Server,
-        *,
-        is_syn: bool = False,
-    ) -> None:
-        self._clear_pending(now_ms, rec)
-        rec.pending_server = server
-        rec.pending_since_ms = now_ms
-        self.server_stats.for_server(server.entry.name).pending += 1
-        rec.started = self.admission.window(server.entry.service).record_start(
-            now_ms,
-            is_syn=is_syn,
-            aim_ms=1000 if rec.route is None else max(1, rec.route.aim_ms),
-        )
-
-    def _clear_pending(
-        self, now_ms: int, rec: tracking.FlowRecord, *, answered: bool = False
-    ) -> None:
-        if rec.pending_server is None or rec.started is None:
-            return
-        entry = rec.pending_server.entry
-        self.server_stats.for_server(entry.name).pending -= 1
-        self.admission.window(entry.service).record_end(
-            now_ms, rec.started, answered=answered
-        )
-        rec.pending_server = None
-        rec.started = None
-
-    def _end_flow(self, now_ms: int, rec: tracking.FlowRecord) -> None:
-        self._clear_pending(now_ms, rec)
-        if rec.waiting is not None:
-            rec.waiting.is_cancelled = True
-            rec.waiting = None
-        if rec.server is not None:
-            self.server_stats.for_server(rec.server.entry.name).open_flows -= 1
-            rec.server = None
-
     def sweep(self, now_ms: int) -> list[effects.Release]:
         """Drop expired flows, overdue requests and servers removed long ago.
 
@@ -676,18 +467,18 @@
         self.reachability.record_activity(now_ms)
         idle_ms = 15_000 if self.routes is None else self.routes.idle_ms
         expired = []
-        for key, rec in self._flows.items():
+        for key, rec in self._table.records.items():
             if rec.pending_server is not None:
                 deadline_ms = (
                     5000 if rec.route is None else rec.route.deadline_ms
                 )
                 if now_ms - rec.pending_since_ms > deadline_ms:
-                    self._clear_pending(now_ms, rec)
+                    self._table.clear_pending(now_ms, rec)
             limit_ms = OPENING_TIMEOUT_MS if rec.server is None else idle_ms
             if now_ms - rec.last_packet_ms > limit_ms:
                 expired.append(key)
         for key in expired:
-            self._end_flow(now_ms, self._flows.pop(key))
+            self._table.end(now_ms, self._table.records.pop(key))
         for name in self.directory.evict_removed(now_ms):
             self.server_stats.discard(name)
         return self._reset_flows_at_gone_servers(now_ms)
@@ -697,7 +488,7 @@
     ) -> list[effects.Release]:
         """Reset the pending flows whose next retransmission may be far off."""
         resets = []
-        for key, rec in list(self._flows.items()):
+        for key, rec in list(self._table.records.items()):
             server = rec.pending_server
             if (
                 server is None
@@ -726,8 +517,3 @@
             out = self._give_up_flow(now_ms, packet, rec, server)
             resets.append(effects.Release(packet, b"", out))
         return resets
-
-    @staticmethod
-    def _forward(server: directory_lib.Server) -> effects.Effects:
-        entry = server.entry
-        return (effects.Forward(entry.address, entry.ident, server.token),)
--- /dev/null
+++ b/src/cyclamenridge/flow/opening.py
@@ -0,0 +1,270 @@
+"""Opening of flows: decides what to do with each SYN."""
+
+import collections
+import random
+
+from cyclamenridge.flow import admission as admission_lib
+from cyclamenridge.flow import directory as directory_lib
+from cyclamenridge.flow import effects
+from cyclamenridge.flow import evidence as evidence_lib
+from cyclamenridge.flow import flow_table
+from cyclamenridge.flow import log as log_port
+from cyclamenridge.flow import packet as packet_lib
+from cyclamenridge.flow import placement as placement_lib
+from cyclamenridge.flow import reachability as reachability_lib
+from cyclamenridge.flow import routes as routes_lib
+from cyclamenridge.flow import server_stats as stats_lib
+from cyclamenridge.flow import tracking
+from cyclamenridge.flow import waiting
+
+# Clients retransmit a SYN for the first time after this.
+SYN_RETRANSMISSION_MS = 200
+# SYNs that arrive sooner than this after one that was forwarded were read
+# late: the server had no time to answer.
+MIN_RETRANSMISSION_MS = 150
+
+
+def forward_to(server: directory_lib.Server) -> effects.Forward:
+    """Return the effect that sends a packet to a server."""
+    entry = server.entry
+    return effects.Forward(entry.address, entry.ident, server.token)
+
+
+class FlowOpener:
+    """Places new flows, lets them wait, or refuses them.
+
+    :ivar routes: routes in force, None before the first configuration
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: directory_lib.Directory,
+        server_stats: stats_lib.ServerStatsTable,
+        reachability: reachability_lib.DomainReachability,
+        admission: admission_lib.AdmissionControl,
+        placement: placement_lib.Placement,
+        evidence: evidence_lib.ServerEvidence,
+        table: flow_table.FlowTable,
+        counters: collections.Counter[str],
+        rng: random.Random,
+        log: log_port.FlowLog,
+    ) -> None:
+        self.routes: routes_lib.RouteTable | None = None
+        self._preferred_routes: frozenset[tuple[int, int]] = frozenset()
+        self._directory = directory
+        self._server_stats = server_stats
+        self._reachability = reachability
+        self._admission = admission
+        self._placement = placement
+        self._evidence = evidence
+        self._table = table
+        self._counters = counters
+        self._rng = rng
+        self._log = log
+
+    def set_routes(self, table: routes_lib.RouteTable) -> None:
+        """Apply the routes of a configuration."""
+        self.routes = table
+        self._preferred_routes = table.preferred_keys()
+
+    def start_waiting(
+        self, now_ms: int, item: waiting.Waiting
+    ) -> effects.Effects:
+        """Return what to do with a SYN that has waited for a slot.
+
+        The configuration may have changed meanwhile.
+        """
+        packet = item.packets[0][0]
+        rec = item.record
+        rec.waiting = None
+        assert self.routes is not None
+        route = self.routes.find(packet.host, packet.port)
+        if route is None:
+            return effects.RESET if rec.is_unsent() else effects.DROP
+        service = item.service
+        if all(target.service != service for target in route.targets):
+            service = route.pick_service(self._rng)
+        return self.place_flow(now_ms, packet, rec, service)
+
+    def expire_waiting(
+        self, now_ms: int, item: waiting.Waiting
+    ) -> effects.Effects:
+        """Return what to do with a SYN that must not wait any longer."""
+        if not self._admission.can_refuse(item.service):
+            return self.start_waiting(now_ms, item)
+        rec = item.record
+        rec.waiting = None
+        return self.refuse_opening(
+            now_ms, item.packets[0][0], rec, item.service
+        )
+
+    def handle_syn(
+        self, now_ms: int, packet: packet_lib.Packet, datagram: bytes
+    ) -> effects.Effects:
+        """Return what to do with a SYN."""
+        assert self.routes is not None
+        route = self.routes.find(packet.host, packet.port)
+        if route is None:
+            self._counters["flows_without_route"] += 1
+            self._log.flow_event(
+                now_ms, "no_route", packet, config=self.routes.version
+            )
+            return effects.RESET
+        key = tracking.flow_key(packet)
+        rec = self._table.records.get(key)
+        if rec is None or rec.syn_seq != packet.seq:
+            if rec is not None:
+                self._table.end(now_ms, rec)
+            rec = tracking.FlowRecord(now_ms, route)
+            rec.syn_seq = packet.seq
+            rec.saw_first_syn = (
+                packet.ack == 0
+                and not self._reachability.may_read_late(now_ms)
+            )
+            rec.next_seq = (packet.seq + 1) & 0xFFFFFFFF
+            self._table.records[key] = rec
+            self._counters["flows_opened"] += 1
+        rec.last_packet_ms = now_ms
+        if rec.server is not None:
+            # The handshake is complete; this retransmission arrived late.
+            self._counters["late_copies"] += 1
+            return effects.DROP
+        if (
+            rec.tried_servers
+            and now_ms - rec.pending_since_ms < MIN_RETRANSMISSION_MS
+        ):
+            # After a pause of this process, a SYN and its retransmissions are
+            # read at once: the server had no time to answer.
+            self._counters["late_copies"] += 1
+            return effects.DROP
+        if rec.is_refused:
+            return effects.RESET if rec.is_unsent() else effects.DROP
+        for server in rec.tried_servers:
+            self._evidence.record_retransmission(now_ms, key, server)
+        if rec.waiting is not None:
+            self._counters["late_copies"] += 1
+            return effects.DROP
+        service = (
+            rec.tried_servers[0].entry.service
+            if rec.tried_servers
+            else route.pick_service(self._rng)
+        )
+        if not self._directory.ready_servers(service):
+            return self._refuse_without_server(now_ms, packet, rec, service)
+        if not self._reachability.is_resuming(
+            now_ms
+        ) and self._admission.can_start(
+            now_ms, service, None, is_preferred=self.is_preferred(route)
+        ):
+            return self.place_flow(now_ms, packet, rec, service)
+        if rec.tried_servers:
+            # Another server is not worth a slot that a first SYN waits for.
+            self._counters["openings_held"] += 1
+            return effects.DROP
+        return self._queue_syn(now_ms, packet, datagram, rec, service)
+
+    def _queue_syn(
+        self,
+        now_ms: int,
+        packet: packet_lib.Packet,
+        datagram: bytes,
+        rec: tracking.FlowRecord,
+        service: str,
+    ) -> effects.Effects:
+        assert rec.route is not None
+        rec.waiting = self._admission.enqueue(
+            now_ms,
+            service=service,
+            route=rec.route,
+            record=rec,
+            server=None,
+            is_preferred=self.is_preferred(rec.route),
+        )
+        if rec.waiting is None:
+            return self.refuse_opening(now_ms, packet, rec, service)
+        rec.waiting.packets.append((packet, datagram))
+        self._counters["openings_queued"] += 1
+        return effects.DROP
+
+    def is_preferred(self, route: routes_lib.Route) -> bool:
+        """Return whether another route of its service ranks lower."""
+        return (route.host, route.port) in self._preferred_routes
+
+    def _refuse_without_server(
+        self,
+        now_ms: int,
+        packet: packet_lib.Packet,
+        rec: tracking.FlowRecord,
+        service: str,
+    ) -> effects.Effects:
+        self._counters["flows_without_server"] += 1
+        self._log.flow_event(
+            now_ms,
+            "no_server",
+            packet,
+            service=service,
+            store_revision=self._directory.revision,
+        )
+        return effects.RESET if rec.is_unsent() else effects.DROP
+
+    def refuse_opening(
+        self,
+        now_ms: int,
+        packet: packet_lib.Packet,
+        rec: tracking.FlowRecord,
+        service: str,
+    ) -> effects.Effects:
+        """Reset a SYN that cannot be served in time.
+
+        A SYN that another balancer may have forwarded goes to a server, since
+        a reset could reach the client after the handshake. That is possible
+        once the client has sent a retransmission.
+        """
+        if (
+            not rec.is_unsent()
+            or now_ms - rec.opened_ms >= SYN_RETRANSMISSION_MS
+        ):
+            return self.place_flow(now_ms, packet, rec, service)
+        self._counters["openings_refused"] += 1
+        self._log.flow_event(
+            now_ms,
+            "opening_refused",
+            packet,
+            service=service,
+            waited_ms=now_ms - rec.opened_ms,
+        )
+        # A copy of this SYN must not open the flow after the reset.
+        rec.is_refused = True
+        return effects.RESET
+
+    def place_flow(
+        self,
+        now_ms: int,
+        packet: packet_lib.Packet,
+        rec: tracking.FlowRecord,
+        service: str,
+    ) -> effects.Effects:
+        """Send a SYN to the selected servers."""
+        servers = self._placement.sample_candidates(
+            self._directory.ready_servers(service)
+        )
+        if not servers:
+            return self._refuse_without_server(now_ms, packet, rec, service)
+        chosen = self._placement.select_servers(
+            now_ms, servers, rec.tried_servers
+        )
+        self._table.set_pending(now_ms, rec, chosen[0], is_syn=True)
+        rec.is_admitted = True
+        out: effects.Effects = ()
+        for server in chosen:
+            rec.tried_servers.append(server)
+            self._log.flow_opening(
+                now_ms,
+                packet,
+                server,
+                self._server_stats.for_server(server.entry.name),
+                0 if self.routes is None else self.routes.version,
+            )
+            out += (forward_to(server),)
+        return out
--- /dev/null
+++ b/src/cyclamenridge/flow/service_window.py
@@ -0,0 +1,217 @@
+"""Limit on the requests of a service that one balancer has in progress."""
+
+from cyclamenridge.flow import waiting
+
+# Requests in progress for each slot of a service, at all balancers together.
+# Fewer leave slots idle between two requests. More wait at the servers, which
+# refuse requests above five a slot.
+MIN_REQUESTS_PER_SLOT = 1.5
+INITIAL_REQUESTS_PER_SLOT = 2.0
+MAX_REQUESTS_PER_SLOT = 4.5
+# Aim for the time at the server and on the network, as a part of the target
+# latency. The limit for each slot shrinks above it and grows below it.
+ANSWER_TIME_PART = 0.6
+LIMIT_DECREASE_FACTOR = 0.85
+LIMIT_INCREASE_FACTOR = 1.03
+# A burst reaches all balancers before their beacons tell of it. At first the
+# window is this many times the even part of the slots. It grows by the second
+# factor at each refresh while it is full and the peers leave slots unused.
+INITIAL_WINDOW_FACTOR = 1.2
+WINDOW_GROWTH_FACTOR = 1.15
+REFRESH_INTERVAL_MS = 100
+# Minimum interval of recounts of a window that is full.
+RECOUNT_INTERVAL_MS = 10
+# Weight of a new sum of the peers' requests, which arrives up to 200 ms late.
+PEER_SMOOTHING = 0.5
+# Weight of a new sample in the mean latency.
+LATENCY_SMOOTHING = 0.1
+# A request is not counted any longer after this many times the mean latency:
+# its answer may be acknowledged through another balancer.
+OVERDUE_FACTOR = 4
+# Above this part of requests without an end, their count proves nothing: their
+# packets are spread over several balancers.
+MAX_LOST_PART = 0.25
+INITIAL_LOST_PART = 0.5
+# Weight of a flow that another balancer opened in that part.
+FOREIGN_FLOW_WEIGHT = 0.2
+# Mean latencies before the first answer.
+INITIAL_HANDSHAKE_MS = 5.0
+INITIAL_ANSWER_MS = 50.0
+MIN_OVERDUE_MS = 20
+
+
+class Started:
+    """A SYN or request that was sent to a server.
+
+    :ivar is_syn: whether the handshake ends it, not an answer
+    """
+
+    __slots__ = ("aim_ms", "is_ended", "is_syn", "started_ms")
+
+    def __init__(self, now_ms: int, *, is_syn: bool, aim_ms: int) -> None:
+        self.started_ms = now_ms
+        self.is_syn = is_syn
+        self.aim_ms = aim_ms
+        self.is_ended = False
+
+
+class _MeanLatency:
+    """Moving average of the time between start and end."""
+
+    __slots__ = ("mean_ms",)
+
+    def __init__(self, initial_ms: float) -> None:
+        self.mean_ms = initial_ms
+
+    @property
+    def overdue_ms(self) -> float:
+        return max(MIN_OVERDUE_MS, OVERDUE_FACTOR * self.mean_ms)
+
+    def record(self, value_ms: int) -> None:
+        bounded_ms = min(value_ms, self.overdue_ms)
+        self.mean_ms += LATENCY_SMOOTHING * (bounded_ms - self.mean_ms)
+
+
+class ServiceWindow:
+    """Requests of a service that this balancer may have in progress.
+
+    :ivar limit: upper bound of ``in_progress``
+    :ivar per_slot: requests for each slot of the service, at all balancers
+    :ivar lost_part: part of the started requests whose end was not seen
+    """
+
+    def __init__(self) -> None:
+        self.in_progress = 0
+        self.limit = 0.0
+        self.per_slot = INITIAL_REQUESTS_PER_SLOT
+        self.queue = waiting.WaitingQueue()
+        self.lost_part = INITIAL_LOST_PART
+        self._peer_requests = 0.0
+        self._refreshed_ms: int | None = None
+        self._was_full = False
+        self._counted_ms = 0
+        self._started: list[Started] = []
+        # Mean answer time as a part of the target latency.
+        self._answer_part = 0.0
+        self._handshakes = _MeanLatency(INITIAL_HANDSHAKE_MS)
+        self._answers = _MeanLatency(INITIAL_ANSWER_MS)
+
+    def needs_refresh(self, now_ms: int) -> bool:
+        """Return whether the limit and the count have to be updated."""
+        return (
+            self._refreshed_ms is None
+            or now_ms - self._refreshed_ms >= REFRESH_INTERVAL_MS
+        )
+
+    def refresh(
+        self,
+        now_ms: int,
+        *,
+        slots: int,
+        peer_requests: float | None,
+        balancers: int,
+    ) -> None:
+        """Update the limit, and drop overdue requests from the count.
+
+        A balancer may always use its even part of the slots, also when it
+        cannot receive beacons.
+
+        :param slots: slots of the service's servers
+        :param peer_requests: requests in progress at other balancers, None if
+            no beacon tells of them
+        """
+        self._refreshed_ms = now_ms
+        self._adapt_to_answers()
+        total = self.per_slot * slots
+        even_part = total / balancers
+        if peer_requests is None:
+            peer_requests = total - even_part
+        self._peer_requests += PEER_SMOOTHING * (
+            peer_requests - self._peer_requests
+        )
+        limit = INITIAL_WINDOW_FACTOR * even_part
+        if self._was_full:
+            limit = max(limit, WINDOW_GROWTH_FACTOR * self.limit)
+        self._was_full = False
+        unused = total - self._peer_requests
+        self.limit = max(1.0, even_part, min(limit, unused))
+        self._drop_overdue(now_ms)
+
+    def _adapt_to_answers(self) -> None:
+        """Move the limit for each slot towards timely answers.
+
+        It rises above its initial value only while requests have to wait.
+        """
+        bound = INITIAL_REQUESTS_PER_SLOT
+        if self._answer_part > ANSWER_TIME_PART:
+            self.per_slot = max(
+                MIN_REQUESTS_PER_SLOT, self.per_slot * LIMIT_DECREASE_FACTOR
+            )
+        elif self._was_full or self.per_slot < bound:
+            self.per_slot = min(
+                MAX_REQUESTS_PER_SLOT, self.per_slot * LIMIT_INCREASE_FACTOR
+            )
+        else:
+            self.per_slot = max(bound, self.per_slot / LIMIT_INCREASE_FACTOR)
+
+    def is_full(self, now_ms: int, limit: float) -> bool:
+        """Return whether as many requests as ``limit`` are in progress."""
+        if (
+            self.in_progress >= limit
+            and now_ms - self._counted_ms >= RECOUNT_INTERVAL_MS
+        ):
+            self._drop_overdue(now_ms)
+        is_full = self.in_progress >= limit
+        self._was_full |= is_full
+        return is_full
+
+    def _drop_overdue(self, now_ms: int) -> None:
+        self._counted_ms = now_ms
+        remaining = []
+        for item in self._started:
+            if item.is_ended:
+                continue
+            latency = self._handshakes if item.is_syn else self._answers
+            if now_ms - item.started_ms < latency.overdue_ms:
+                remaining.append(item)
+            else:
+                self.lost_part += LATENCY_SMOOTHING * (1 - self.lost_part)
+        self._started = remaining
+        self.in_progress = len(remaining)
+
+    def record_foreign_flow(self) -> None:
+        """Record a flow that another balancer opened.
+
+        The routers may spread the packets of each flow over balancers.
+        """
+        self.lost_part += FOREIGN_FLOW_WEIGHT * (1 - self.lost_part)
+
+    def record_start(
+        self, now_ms: int, *, is_syn: bool, aim_ms: int
+    ) -> Started:
+        """Count a request that is sent to a server.
+
+        :param aim_ms: target latency of its answer
+        """
+        item = Started(now_ms, is_syn=is_syn, aim_ms=aim_ms)
+        self._started.append(item)
+        self.in_progress += 1
+        return item
+
+    def record_end(
+        self, now_ms: int, item: Started, *, answered: bool
+    ) -> None:
+        """Count the end of a request."""
+        item.is_ended = True
+        self.in_progress = max(0, self.in_progress - 1)
+        if not answered:
+            return
+        self.lost_part -= LATENCY_SMOOTHING * self.lost_part
+        elapsed_ms = now_ms - item.started_ms
+        if item.is_syn:
+            self._handshakes.record(elapsed_ms)
+        else:
+            self._answers.record(elapsed_ms)
+            self._answer_part += LATENCY_SMOOTHING * (
+                min(elapsed_ms / item.aim_ms, 2.0) - self._answer_part
+            )
--- a/src/cyclamenridge/flow/tracking.py
+++ b/src/cyclamenridge/flow/tracking.py
@@ -11,7 +11,7 @@
 from cyclamenridge.flow import routes
 
 if typing.TYPE_CHECKING:
-    from cyclamenridge.flow import admission
+    from cyclamenridge.flow import service_window
     from cyclamenridge.flow import waiting
 
 FlowKey = tuple[int, int, int, int]
@@ -77,7 +77,7 @@
         self.waiting: waiting.Waiting | None = None
         self.pending_server: directory.Server | None = None
         self.pending_since_ms = 0
-        self.started: admission.Started | None = None
+        self.started: service_window.Started | None = None
         self.retransmissions = 0
 
     def is_unsent(self) -> bool:
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -1,8 +1,11 @@
+import msgspec
 import pytest
 
 from cyclamenridge.flow import admission
 from cyclamenridge.flow import effects
 from cyclamenridge.flow import packet as packet_lib
+from cyclamenridge.flow import routes
+from cyclamenridge.flow import service_window
 from cyclamenridge.flow import tracking
 from cyclamenridge.flow import waiting
 from tests.flow import builders
@@ -118,7 +121,7 @@
     core = builders.make_core(*SERVERS)
     fill(core)
     window = core.admission.window("counter")
-    window.lost_part = admission.MAX_LOST_PART + 0.01
+    window.lost_part = service_window.MAX_LOST_PART + 0.01
     flow = builders.Flow(core, client_port=1)
     assert flow.syn(0) == effects.DROP
     assert builders.forwards(dict(released(core, 100))[1])
@@ -299,9 +302,9 @@
     for number in range(40):
         queue.push(make_item(number, FEED))
         queue.push(make_item(number, PUSH))
-    routes = [item.route for item in pop_all(queue, 45)]
-    assert routes[:40].count(PUSH) >= 34
-    assert routes[:40].count(FEED) >= 40 // waiting.FLOOR_INTERVAL
+    popped = [item.route for item in pop_all(queue, 45)]
+    assert popped[:40].count(PUSH) >= 34
+    assert popped[:40].count(FEED) >= 40 // waiting.FLOOR_INTERVAL
 
 
 def test_the_newest_request_goes_first_once_the_queue_stands():
@@ -350,7 +353,7 @@
 
 
 def make_window(**options):
-    window = admission.ServiceWindow()
+    window = service_window.ServiceWindow()
     arguments = {"slots": 14, "peer_requests": 0.0, "balancers": 5} | options
     window.refresh(0, **arguments)
     return window, arguments
@@ -361,7 +364,7 @@
     window, arguments = make_window(peer_requests=1000.0)
     for now_ms in range(100, 3000, 100):
         window.refresh(now_ms, **arguments)
-    part = admission.INITIAL_REQUESTS_PER_SLOT * 14 / 5
+    part = service_window.INITIAL_REQUESTS_PER_SLOT * 14 / 5
     assert window.limit == pytest.approx(part)
 
 
@@ -373,7 +376,7 @@
             window.record_start(now_ms, is_syn=True, aim_ms=150)
         assert window.is_full(now_ms, window.limit)
         window.refresh(now_ms, **arguments)
-    assert window.limit >= admission.INITIAL_REQUESTS_PER_SLOT * 14
+    assert window.limit >= service_window.INITIAL_REQUESTS_PER_SLOT * 14
 
 
 def test_a_balancer_without_beacons_keeps_to_its_even_part():
@@ -395,9 +398,9 @@
                 window.refresh(now_ms, **arguments)
 
     answer_all(140, 2000, 10)
-    assert window.per_slot == admission.MIN_REQUESTS_PER_SLOT
+    assert window.per_slot == service_window.MIN_REQUESTS_PER_SLOT
     answer_all(40, 8000, 2000)
-    assert window.per_slot >= admission.INITIAL_REQUESTS_PER_SLOT
+    assert window.per_slot >= service_window.INITIAL_REQUESTS_PER_SLOT
 
 
 def test_requests_whose_answer_passes_another_balancer_are_not_counted_long():
@@ -409,7 +412,7 @@
     for _ in range(10):
         window.record_start(200, is_syn=False, aim_ms=150)
     assert window.is_full(220, 10)
-    overdue_ms = 200 + 40 * admission.OVERDUE_FACTOR
+    overdue_ms = 200 + 40 * service_window.OVERDUE_FACTOR
     assert not window.is_full(overdue_ms + 20, 10)
 
 
@@ -489,3 +492,35 @@
     assert flow.syn(10) == effects.DROP
     outs = released_until(core, 700, 800)
     assert builders.forwards(outs[1])
+
+
+@pytest.mark.parametrize("target", [None, "workshop"])
+def test_a_syn_that_waited_follows_the_newest_configuration(target):
+    """Its route may have been dropped or moved while it waited."""
+    core = builders.make_core(
+        *SERVERS, builders.server_entry(9, service="workshop")
+    )
+    fill(core)
+    flow = builders.Flow(core, client_port=1)
+    assert flow.syn(0) == effects.DROP
+    table = {
+        key: route
+        for key, route in builders.CONFIG.routes.items()
+        if route.name != "feed"
+    }
+    if target is not None:
+        moved = msgspec.structs.replace(
+            FEED, targets=(routes.Target(target, 1),)
+        )
+        table[builders.HOST, builders.FEED_PORT] = moved
+    assert core.configure(
+        routes.RouteTable(
+            9, table, builders.CONFIG.services, builders.CONFIG.idle_ms
+        )
+    )
+    core.admission.window("counter").is_full = lambda *_: False
+    out = dict(released(core, 10))[1]
+    if target is None:
+        assert out == effects.RESET
+    else:
+        assert builders.forwards(out)[0].ident == 9
--- a/tests/flow/test_core.py
+++ b/tests/flow/test_core.py
@@ -286,7 +286,7 @@
         *(builders.server_entry(n) for n in range(1, 400))
     )
     compared = []
-    selector = core._placement._selector
+    selector = core._opener._placement._selector
     select = selector.select
 
     def count(now_ms, candidates, server_stats):
