Judge by foreign flows whether requests in progress are known

Cause: requests whose answer took long counted as answered through another balancer. Change: only flows that another balancer opened count, against those opened here.

--- a/src/cyclamenridge/flow/admission.py
+++ b/src/cyclamenridge/flow/admission.py
@@ -148,7 +148,8 @@
 
     def can_refuse(self, service: str) -> bool:
         """Return whether requests in progress are known well enough."""
-        return self.window(service).lost_part <= service_window.MAX_LOST_PART
+        window = self.window(service)
+        return window.foreign_part <= service_window.MAX_FOREIGN_PART
 
     def pop_expired(self, now_ms: int) -> list[waiting.Waiting]:
         """Take the requests that must not wait any longer."""
--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -347,7 +347,9 @@
                 route = self.routes.find(packet.host, packet.port)
             rec = tracking.FlowRecord(now_ms, route)
             self._table.records[key] = rec
-            self.admission.window(server.entry.service).record_foreign_flow()
+            self.admission.window(server.entry.service).record_flow(
+                is_foreign=True
+            )
         rec.last_packet_ms = now_ms
         if rec.server is not None and rec.server is not server:
             self._change_server(rec, server)
--- a/src/cyclamenridge/flow/opening.py
+++ b/src/cyclamenridge/flow/opening.py
@@ -150,6 +150,8 @@
             if rec.tried_servers
             else route.pick_service(self._rng)
         )
+        if not rec.tried_servers:
+            self._admission.window(service).record_flow(is_foreign=False)
         if not self._directory.ready_servers(service):
             return self._refuse_without_server(now_ms, packet, rec, service)
         if not self._reachability.is_resuming(
--- a/src/cyclamenridge/flow/service_window.py
+++ b/src/cyclamenridge/flow/service_window.py
@@ -28,12 +28,13 @@
 # A request is not counted any longer after this many times the mean latency:
 # its answer may be acknowledged through another balancer.
 OVERDUE_FACTOR = 4
-# Above this part of requests without an end, their count proves nothing: their
-# packets are spread over several balancers.
-MAX_LOST_PART = 0.25
-INITIAL_LOST_PART = 0.5
-# Weight of a flow that another balancer opened in that part.
+# Above this part of flows that other balancers opened, the count of requests
+# in progress proves nothing: the packets of each flow are spread over them.
+MAX_FOREIGN_PART = 0.25
+INITIAL_FOREIGN_PART = 0.5
+# Weight of a flow that another balancer opened, and of one opened here.
 FOREIGN_FLOW_WEIGHT = 0.2
+OWN_FLOW_WEIGHT = 0.1
 # Mean latencies before the first answer.
 INITIAL_HANDSHAKE_MS = 5.0
 INITIAL_ANSWER_MS = 50.0
@@ -77,7 +78,7 @@
 
     :ivar limit: upper bound of ``in_progress``
     :ivar per_slot: requests for each slot of the service, at all balancers
-    :ivar lost_part: part of the started requests whose end was not seen
+    :ivar foreign_part: part of the flows that other balancers opened
     """
 
     def __init__(self) -> None:
@@ -85,7 +86,7 @@
         self.limit = 0.0
         self.per_slot = INITIAL_REQUESTS_PER_SLOT
         self.queue = waiting.WaitingQueue()
-        self.lost_part = INITIAL_LOST_PART
+        self.foreign_part = INITIAL_FOREIGN_PART
         self._peer_requests = 0.0
         self._refreshed_ms: int | None = None
         self._was_full = False
@@ -174,17 +175,18 @@
             latency = self._handshakes if item.is_syn else self._answers
             if now_ms - item.started_ms < latency.overdue_ms:
                 remaining.append(item)
-            else:
-                self.lost_part += LATENCY_SMOOTHING * (1 - self.lost_part)
         self._started = remaining
         self.in_progress = len(remaining)
 
-    def record_foreign_flow(self) -> None:
-        """Record a flow that another balancer opened.
+    def record_flow(self, *, is_foreign: bool) -> None:
+        """Record the first packet of a flow at this balancer.
 
-        The routers may spread the packets of each flow over balancers.
+        :param is_foreign: whether another balancer opened the flow
         """
-        self.lost_part += FOREIGN_FLOW_WEIGHT * (1 - self.lost_part)
+        if is_foreign:
+            self.foreign_part += FOREIGN_FLOW_WEIGHT * (1 - self.foreign_part)
+        else:
+            self.foreign_part -= OWN_FLOW_WEIGHT * self.foreign_part
 
     def record_start(
         self, now_ms: int, *, is_syn: bool, aim_ms: int
@@ -206,7 +208,6 @@
         self.in_progress = max(0, self.in_progress - 1)
         if not answered:
             return
-        self.lost_part -= LATENCY_SMOOTHING * self.lost_part
         elapsed_ms = now_ms - item.started_ms
         if item.is_syn:
             self._handshakes.record(elapsed_ms)
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -30,7 +30,7 @@
             flow.complete_handshake(now_ms, out[0])
             flow.request(now_ms)
             flows.append(flow)
-    core.admission.window("counter").lost_part = 0.0
+    core.admission.window("counter").foreign_part = 0.0
     return flows
 
 
@@ -121,7 +121,7 @@
     core = builders.make_core(*SERVERS)
     fill(core)
     window = core.admission.window("counter")
-    window.lost_part = service_window.MAX_LOST_PART + 0.01
+    window.foreign_part = service_window.MAX_FOREIGN_PART + 0.2
     flow = builders.Flow(core, client_port=1)
     assert flow.syn(0) == effects.DROP
     assert builders.forwards(dict(released(core, 100))[1])
@@ -142,6 +142,20 @@
     assert not core.admission.can_refuse("counter")
 
 
+def test_slow_answers_do_not_stop_refusals():
+    """Requests at full servers once counted as answered elsewhere.
+
+    No SYN was refused then, which kept the servers full.
+    """
+    core = builders.make_core(*SERVERS)
+    flows = fill(core)
+    for now_ms in range(100, 3000, 100):
+        core.release(now_ms)
+        builders.Flow(core, client_port=now_ms).syn(now_ms)
+    assert len(flows) > 4
+    assert core.admission.can_refuse("counter")
+
+
 def test_a_syn_that_was_reset_is_never_sent_to_a_server():
     """The reset said that the request does not run."""
     core = builders.make_core(*SERVERS)
--- a/tests/wire/test_token.py
+++ b/tests/wire/test_token.py
@@ -54,3 +54,10 @@
     data = codec.encode(make_token(type=9))
     with pytest.raises(errors.WireError, match="type 9"):
         codec.decode(data)
+
+
+def test_a_token_of_a_withdrawn_key_is_refused():
+    """A process that restarts has only the keys of its newest settings."""
+    data = token.TokenCodec((b"withdrawn",)).encode(make_token())
+    with pytest.raises(errors.WireError):
+        token.TokenCodec((b"new", b"old")).decode(data)
