--- a/src/cyclamenridge/flow/placement.py
+++ b/src/cyclamenridge/flow/placement.py
@@ -11,13 +11,6 @@
 # Servers that are compared for a SYN. Comparing more would make the cost grow
 # with the fleet and would rarely find a less loaded server.
 MAX_CANDIDATES = 64
-# Retransmitted SYNs are held once every server of the service has this many
-# pending requests per slot. On today's installations answers become late at
-# twice the service time of an unloaded server.
-RETRANSMISSION_HOLD_PER_SLOT = 2
-# The same limit for first SYNs of other routes and for retransmitted SYNs of
-# preferred ones. A server with this many pending requests refuses more.
-FULL_HOLD_PER_SLOT = 4
 # A SYN also goes to a second server if the first has not answered anything
 # for this long.
 HEDGE_AFTER_MS = 400
@@ -47,36 +40,6 @@
             return self._rng.sample(ready, MAX_CANDIDATES)
         return ready
 
-    def should_hold(
-        self,
-        servers: Sequence[directory.Server],
-        *,
-        preferred: bool,
-        is_retransmission: bool,
-    ) -> bool:
-        """Return whether to drop a SYN until the client retransmits it.
-
-        A client that retransmits has already waited longer than a timely
-        answer takes, so requests that can still be answered in time have
-        priority. The first SYN of a preferred route is never held. Those of
-        other routes are held while all servers are full: they would be
-        refused, or take a slot from preferred requests.
-
-        :param preferred: whether another route of the service ranks lower
-        """
-        if preferred and not is_retransmission:
-            return False
-        limit = (
-            FULL_HOLD_PER_SLOT
-            if preferred or not is_retransmission
-            else RETRANSMISSION_HOLD_PER_SLOT
-        )
-        for server in servers:
-            stats = self._server_stats.for_server(server.entry.name)
-            if stats.pending + stats.peer_pending < limit * server.entry.slots:
-                return False
-        return True
-
     def select_servers(
         self,
         now_ms: int,
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -15,6 +15,15 @@
 PUSH = builders.CONFIG.routes[builders.HOST, builders.PUSH_PORT]
 
 
+def open_idle_flow(core):
+    """Return a flow whose first request was answered, and its server."""
+    flow = builders.Flow(core, client_port=1)
+    forward = flow.open(0)
+    flow.request(0)
+    flow.acknowledge(30)
+    return flow, forward
+
+
 def fill(core, *, now_ms=0):
     """Open flows with a request each until a SYN of any route has to wait."""
     flows = []
@@ -196,10 +205,7 @@
 
 def test_a_request_on_an_open_flow_waits_and_is_sent_to_its_server():
     core = builders.make_core(*SERVERS)
-    flow = builders.Flow(core, client_port=1)
-    forward = flow.open(0)
-    flow.request(0)
-    flow.acknowledge(30)
+    flow, forward = open_idle_flow(core)
     busy = fill(core, now_ms=40)
     assert flow.request(50) == effects.DROP
     assert flow.acknowledge(55) == (forward,), "an ACK never waits"
@@ -211,10 +217,7 @@
 def test_a_copy_of_a_waiting_request_is_not_sent():
     """Its server would get the request twice, before and after the wait."""
     core = builders.make_core(*SERVERS)
-    flow = builders.Flow(core, client_port=1)
-    flow.open(0)
-    flow.request(0)
-    flow.acknowledge(30)
+    flow, _ = open_idle_flow(core)
     busy = fill(core, now_ms=40)
     flow.request(50)
     assert flow.retransmit(250) == effects.DROP
@@ -225,10 +228,7 @@
 
 def test_all_packets_of_a_waiting_request_are_sent_in_order():
     core = builders.make_core(*SERVERS)
-    flow = builders.Flow(core, client_port=1)
-    forward = flow.open(0)
-    flow.request(0)
-    flow.acknowledge(30)
+    flow, forward = open_idle_flow(core)
     busy = fill(core, now_ms=40)
     for length in (1200, 1200, 300):
         assert flow.request(50, length) == effects.DROP
@@ -247,10 +247,7 @@
 def test_a_request_on_an_open_flow_is_never_reset():
     """Only its server can refuse it, so it gets there in time for that."""
     core = builders.make_core(*SERVERS)
-    flow = builders.Flow(core, client_port=1)
-    forward = flow.open(0)
-    flow.request(0)
-    flow.acknowledge(30)
+    flow, forward = open_idle_flow(core)
     fill(core, now_ms=40)
     flow.request(50)
     # All slots stay taken.
@@ -267,10 +264,7 @@
     It has to look at the clock again when it wakes up.
     """
     core = builders.make_core(*SERVERS)
-    flow = builders.Flow(core, client_port=1)
-    flow.open(0)
-    flow.request(0)
-    flow.acknowledge(30)
+    flow, _ = open_idle_flow(core)
     fill(core, now_ms=40)
     flow.request(50)
     resumed_ms = 50 + FEED.deadline_ms
@@ -280,10 +274,7 @@
 
 def test_a_client_that_resets_its_flow_takes_its_request_back():
     core = builders.make_core(*SERVERS)
-    flow = builders.Flow(core, client_port=1)
-    forward = flow.open(0)
-    flow.request(0)
-    flow.acknowledge(30)
+    flow, forward = open_idle_flow(core)
     busy = fill(core, now_ms=40)
     flow.request(50)
     assert flow.send(55, packet_lib.RST) == (forward,)
@@ -295,10 +286,7 @@
 def test_nothing_waits_after_the_process_stopped_accepting():
     """A planned stop must not cut off requests that were accepted."""
     core = builders.make_core(*SERVERS)
-    flow = builders.Flow(core, client_port=1)
-    forward = flow.open(0)
-    flow.request(0)
-    flow.acknowledge(30)
+    flow, forward = open_idle_flow(core)
     fill(core, now_ms=40)
     flow.request(50)
     opening = builders.Flow(core, client_port=2)
