Leave overdue requests out of the count at each server too

After a loss of power clients retransmit what was pending; its answers pass other balancers or never come, and the requests counted at their servers until their deadline. Change: the window counts requests by server as well, without overdue ones. The window begins at twice the even part, and a retransmitted SYN is held only while others wait. Tests: two new ones.

--- a/src/cyclamenridge/flow/admission.py
+++ b/src/cyclamenridge/flow/admission.py
@@ -124,6 +124,10 @@
         self.waiting_count += 1
         return item
 
+    def has_waiting(self, service: str) -> bool:
+        """Return whether requests of a service wait for a slot."""
+        return len(self.window(service).queue) > 0
+
     def pop(self, now_ms: int) -> waiting.Waiting | None:
         """Take a request that can start now."""
 
@@ -179,11 +183,13 @@
         window: service_window.ServiceWindow,
         server: directory_lib.Server,
     ) -> bool:
-        stats = self._server_stats.for_server(server.entry.name)
+        name = server.entry.name
+        stats = self._server_stats.for_server(name)
+        in_progress = window.in_progress_at(now_ms, name)
         return (
-            stats.pending == 0
+            in_progress == 0
             or stats.is_silent(now_ms)
-            or stats.pending + stats.peer_pending * (self.peer_scale or 1.0)
+            or in_progress + stats.peer_pending * (self.peer_scale or 1.0)
             < window.per_slot * server.entry.slots
         )
 
--- a/src/cyclamenridge/flow/flow_table.py
+++ b/src/cyclamenridge/flow/flow_table.py
@@ -38,6 +38,7 @@
             server.entry.service
         ).record_start(
             now_ms,
+            server=server.entry.name,
             is_syn=is_syn,
             aim_ms=1000 if rec.route is None else max(1, rec.route.aim_ms),
         )
--- a/src/cyclamenridge/flow/opening.py
+++ b/src/cyclamenridge/flow/opening.py
@@ -161,6 +161,8 @@
         ):
             return self.place_flow(now_ms, packet, rec, service)
         if rec.tried_servers:
+            if not self._admission.has_waiting(service):
+                return self.place_flow(now_ms, packet, rec, service)
             # Another server is not worth a slot that a first SYN waits for.
             self._counters["openings_held"] += 1
             return effects.DROP
--- a/src/cyclamenridge/flow/service_window.py
+++ b/src/cyclamenridge/flow/service_window.py
@@ -1,5 +1,7 @@
 """Limit on the requests of a service that one balancer has in progress."""
 
+import collections
+
 from cyclamenridge.flow import waiting
 
 # Requests in progress for each slot of a service, at all balancers together.
@@ -16,7 +18,7 @@
 # A burst reaches all balancers before their beacons tell of it. At first the
 # window is this many times the even part of the slots. It grows by the second
 # factor at each refresh while it is full and the peers leave slots unused.
-INITIAL_WINDOW_FACTOR = 1.2
+INITIAL_WINDOW_FACTOR = 2.0
 WINDOW_GROWTH_FACTOR = 1.15
 REFRESH_INTERVAL_MS = 100
 # Minimum interval of recounts of a window that is full.
@@ -47,10 +49,13 @@
     :ivar is_syn: whether the handshake ends it, not an answer
     """
 
-    __slots__ = ("aim_ms", "is_ended", "is_syn", "started_ms")
+    __slots__ = ("aim_ms", "is_ended", "is_syn", "server", "started_ms")
 
-    def __init__(self, now_ms: int, *, is_syn: bool, aim_ms: int) -> None:
+    def __init__(
+        self, now_ms: int, *, server: str, is_syn: bool, aim_ms: int
+    ) -> None:
         self.started_ms = now_ms
+        self.server = server
         self.is_syn = is_syn
         self.aim_ms = aim_ms
         self.is_ended = False
@@ -92,6 +97,7 @@
         self._was_full = False
         self._counted_ms = 0
         self._started: list[Started] = []
+        self._by_server: collections.Counter[str] = collections.Counter()
         # Mean answer time as a part of the target latency.
         self._answer_part = 0.0
         self._handshakes = _MeanLatency(INITIAL_HANDSHAKE_MS)
@@ -166,6 +172,19 @@
         self._was_full |= is_full
         return is_full
 
+    def in_progress_at(self, now_ms: int, server: str) -> int:
+        """Return the requests that a server works on, overdue ones left out.
+
+        After a restart or a change of the routers, answers of many requests
+        pass other balancers.
+        """
+        if (
+            self._by_server[server]
+            and now_ms - self._counted_ms >= RECOUNT_INTERVAL_MS
+        ):
+            self._drop_overdue(now_ms)
+        return self._by_server[server]
+
     def _drop_overdue(self, now_ms: int) -> None:
         self._counted_ms = now_ms
         remaining = []
@@ -177,6 +196,9 @@
                 remaining.append(item)
         self._started = remaining
         self.in_progress = len(remaining)
+        self._by_server = collections.Counter(
+            item.server for item in remaining
+        )
 
     def record_flow(self, *, is_foreign: bool) -> None:
         """Record the first packet of a flow at this balancer.
@@ -189,14 +211,16 @@
             self.foreign_part -= OWN_FLOW_WEIGHT * self.foreign_part
 
     def record_start(
-        self, now_ms: int, *, is_syn: bool, aim_ms: int
+        self, now_ms: int, *, server: str, is_syn: bool, aim_ms: int
     ) -> Started:
         """Count a request that is sent to a server.
 
+        :param server: name of the server
         :param aim_ms: target latency of its answer
         """
-        item = Started(now_ms, is_syn=is_syn, aim_ms=aim_ms)
+        item = Started(now_ms, server=server, is_syn=is_syn, aim_ms=aim_ms)
         self._started.append(item)
+        self._by_server[server] += 1
         self.in_progress += 1
         return item
 
@@ -206,6 +230,8 @@
         """Count the end of a request."""
         item.is_ended = True
         self.in_progress = max(0, self.in_progress - 1)
+        if self._by_server[item.server] > 0:
+            self._by_server[item.server] -= 1
         if not answered:
             return
         elapsed_ms = now_ms - item.started_ms
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -375,7 +375,7 @@
     window, arguments = make_window()
     for now_ms in range(100, 6000, 100):
         for _ in range(100):
-            window.record_start(now_ms, is_syn=True, aim_ms=150)
+            window.record_start(now_ms, server="s", is_syn=True, aim_ms=150)
         assert window.is_full(now_ms, window.limit)
         window.refresh(now_ms, **arguments)
     assert window.limit >= service_window.INITIAL_REQUESTS_PER_SLOT * 14
@@ -394,7 +394,9 @@
 
     def answer_all(elapsed_ms, until_ms, start_ms):
         for now_ms in range(start_ms, until_ms, 10):
-            item = window.record_start(now_ms, is_syn=False, aim_ms=150)
+            item = window.record_start(
+                now_ms, server="s", is_syn=False, aim_ms=150
+            )
             window.record_end(now_ms + elapsed_ms, item, answered=True)
             if now_ms % 100 == 0:
                 window.refresh(now_ms, **arguments)
@@ -409,10 +411,12 @@
     """After a change of the routers, most flows move to other balancers."""
     window, _ = make_window()
     for now_ms in range(100):
-        item = window.record_start(now_ms, is_syn=False, aim_ms=150)
+        item = window.record_start(
+            now_ms, server="s", is_syn=False, aim_ms=150
+        )
         window.record_end(now_ms + 40, item, answered=True)
     for _ in range(10):
-        window.record_start(200, is_syn=False, aim_ms=150)
+        window.record_start(200, server="s", is_syn=False, aim_ms=150)
     assert window.is_full(220, 10)
     overdue_ms = 200 + 40 * service_window.OVERDUE_FACTOR
     assert not window.is_full(overdue_ms + 20, 10)
@@ -526,3 +530,34 @@
         assert out == effects.RESET
     else:
         assert builders.forwards(out)[0].ident == 9
+
+
+def test_a_retransmitted_syn_is_held_only_while_others_wait():
+    """Its first server may be cut off, which fills the window as well."""
+    core = builders.make_core(*SERVERS)
+    flow = builders.Flow(core, client_port=1)
+    assert builders.forwards(flow.syn(0))
+    fill(core)
+    core.release_all(10)
+    assert builders.forwards(flow.syn(200, 1))
+    core.admission.window("counter").is_full = lambda *_: True
+    builders.Flow(core, client_port=2).syn(590)
+    assert flow.syn(600, 2) == effects.DROP
+
+
+def test_requests_that_others_saw_answered_do_not_fill_a_server():
+    """After a loss of power, open flows waited for seconds.
+
+    Clients retransmit what was pending; its answers pass other balancers, or
+    never come.
+    """
+    core = builders.make_core(*SERVERS)
+    for number in range(8):
+        lost = builders.Flow(core, client_port=300 + number)
+        lost.token = 1
+        lost.request(0)
+    flow = builders.Flow(core, client_port=1)
+    flow.token = 1
+    for now_ms in range(100, 500, 100):
+        core.sweep(now_ms)
+    assert builders.forwards(flow.request(500))
