Log the epoch of the store and the entries that a read contradicts

Change: the store's adapter reads the epoch from the response header; store_read logs it with the known revision and the outdated names, and counts reads; snapshot_taken logs the revision before it.

The ignored entry is the server that breaks DRAIN. Ruled out as its cause: peers and back-off, which the same logs show at work without a broken rule.

--- a/src/cyclamenridge/adapters/http.py
+++ b/src/cyclamenridge/adapters/http.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 import contextlib
 import socket
 
@@ -41,10 +42,14 @@
 
 
 class Response(msgspec.Struct, frozen=True):
-    """A response that the client received."""
+    """A response that the client received.
+
+    :param headers: values by name in lower case, the last one if repeated
+    """
 
     status: int
     body: bytes
+    headers: Mapping[str, str]
 
 
 def enable_keepalive(sock: socket.socket) -> None:
@@ -140,6 +145,7 @@
 
     def __init__(self) -> None:
         self.body = bytearray()
+        self.headers: dict[str, str] = {}
         self.is_complete = False
         self.keep_connection = False
         self.target = b""
@@ -150,6 +156,9 @@
     def on_url(self, url: bytes) -> None:
         self.target += url
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
     def on_body(self, body: bytes) -> None:
         self.body += body
 
@@ -172,7 +181,9 @@
         parser.feed_data(data)
         if len(callbacks.body) > _MAX_BODY_BYTES:
             raise ConnectionAbortedError("response is too long")
-    response = Response(parser.get_status_code(), bytes(callbacks.body))
+    response = Response(
+        parser.get_status_code(), bytes(callbacks.body), callbacks.headers
+    )
     return response, callbacks.keep_connection
 
 
--- a/src/cyclamenridge/flow/directory.py
+++ b/src/cyclamenridge/flow/directory.py
@@ -125,6 +125,19 @@
             and not self.has_token_collision(server)
         )
 
+    def is_outdated(self, entry: ServerEntry) -> bool:
+        """Return whether an entry contradicts a newer one of its server."""
+        server = self._servers.get(entry.name)
+        return (
+            server is not None
+            and server.revision >= entry.revision
+            and (
+                server.removed_ms is not None
+                or (server.entry.state, server.entry.born_ms)
+                != (entry.state, entry.born_ms)
+            )
+        )
+
     def put(self, now_ms: int, entry: ServerEntry) -> bool:
         """Store an entry; return False if a newer one is known."""
         server = self._servers.get(entry.name)
--- a/src/cyclamenridge/peer_link.py
+++ b/src/cyclamenridge/peer_link.py
@@ -94,6 +94,7 @@
 
     async def _pull_snapshot(self, host: str) -> None:
         client = http.HttpClient(address_lib.Address(host, self._port))
+        previous_revision = self._core.directory.revision
         try:
             response = await client.request(
                 "GET",
@@ -110,6 +111,7 @@
                     peer=host,
                     config=0 if routes is None else routes.version,
                     revision=self._core.directory.revision,
+                    previous_revision=previous_revision,
                 )
                 self._on_update()
         except (
--- a/src/cyclamenridge/platform/store.py
+++ b/src/cyclamenridge/platform/store.py
@@ -20,6 +20,7 @@
 # does not wait for a change.
 _FIRST_WAIT_MS = 1
 _MAX_PAGES = 1000
+_EPOCH_HEADER = "store-era"
 
 _T = TypeVar("_T")
 
@@ -90,11 +91,14 @@
         response = await self._read("/kv-key", key=key)
         if response.status == 404:
             missing = _decode_response(response, _MissingKeyResponse)
-            return store.GetResult(missing.store_revision, None)
+            return store.GetResult(
+                missing.store_revision, None, _epoch_of(response)
+            )
         item = _decode_response(response, _KeyResponse)
         return store.GetResult(
             item.store_revision,
             store.KeyValue(item.key, _decode_value(item.value), item.revision),
+            _epoch_of(response),
         )
 
     async def range(
@@ -123,7 +127,9 @@
                 )
             if not page.has_more or not page.items:
                 return store.RangeResult(
-                    revision, tuple(entries[key] for key in sorted(entries))
+                    revision,
+                    tuple(entries[key] for key in sorted(entries)),
+                    _epoch_of(response),
                 )
             after = page.items[-1].key
         raise errors.StoreError("the store returned too many pages")
@@ -216,6 +222,7 @@
                         for item in batch.events
                         if prefix or item.key == key
                     ),
+                    _epoch_of(response),
                 )
         finally:
             client.close()
@@ -310,6 +317,12 @@
         ) from exc
 
 
+def _epoch_of(response: http.Response) -> int:
+    """Return the epoch of the store's history, 0 if it is not valid."""
+    value = response.headers.get(_EPOCH_HEADER, "")
+    return int(value) if value.isascii() and value.isdecimal() else 0
+
+
 def _status_error(response: http.Response) -> errors.StoreError:
     text = response.body[:200].decode(errors="replace")
     return errors.StoreError(
--- a/src/cyclamenridge/ports/store.py
+++ b/src/cyclamenridge/ports/store.py
@@ -44,17 +44,24 @@
     :param revision: store revision at which the key was read; a watch
         without a gap starts at ``revision + 1``
     :param entry: None when the key is absent
+    :param epoch: rises when the store is restored from an older copy and
+        gives out revisions again; 0 if the store does not tell
     """
 
     revision: int
     entry: KeyValue | None
+    epoch: int = 0
 
 
 class RangeResult(msgspec.Struct, frozen=True):
-    """Result of ``range``: the entries in the order of their keys."""
+    """Result of ``range``: the entries in the order of their keys.
+
+    :param epoch: as in ``GetResult``
+    """
 
     revision: int
     entries: tuple[KeyValue, ...]
+    epoch: int = 0
 
 
 class PutResult(msgspec.Struct, frozen=True):
@@ -87,10 +94,13 @@
     The first batch of a watch arrives at once, with the changes since the
     start revision if there are any. It confirms that the store accepted the
     watch.
+
+    :param epoch: as in ``GetResult``
     """
 
     revision: int
     changes: tuple[Change, ...]
+    epoch: int = 0
 
 
 class Lease(msgspec.Struct, frozen=True):
--- a/src/cyclamenridge/store_follower.py
+++ b/src/cyclamenridge/store_follower.py
@@ -18,6 +18,8 @@
 _MAX_BACKOFF_MS = 1500
 # A process that cannot place flows is of no use until the store answers.
 _MAX_BACKOFF_WITHOUT_STATE_MS = 300
+# Limits the length of a line of the log.
+MAX_LOGGED_NAMES = 20
 
 
 class StoreFollower(component.Component):
@@ -95,6 +97,7 @@
 
     async def _read_all(self, *, stale: bool) -> None:
         result = await self._store.range("", stale=stale)
+        known_revision = self._core.directory.revision
         server_entries = []
         for entry in result.entries:
             if self._records.is_config(entry.key):
@@ -105,6 +108,13 @@
                 )
                 if server_entry is not None:
                     server_entries.append(server_entry)
+        outdated = [
+            entry.name
+            for entry in server_entries
+            if self._core.directory.is_outdated(entry)
+        ]
+        self._core.counters["store_reads"] += 1
+        self._core.counters["entries_outdated"] += len(outdated)
         now_ms = self._clock.now_ms()
         put, removed = self._core.directory.replace(
             now_ms, result.revision, server_entries
@@ -112,11 +122,14 @@
         self._note_store_answer()
         self._log.process_event(
             "store_read",
+            epoch=result.epoch,
             revision=result.revision,
+            known_revision=known_revision,
             stale=stale,
             servers=len(server_entries),
-            put=put[:20],
-            removed=removed[:20],
+            put=put[:MAX_LOGGED_NAMES],
+            removed=removed[:MAX_LOGGED_NAMES],
+            outdated=outdated[:MAX_LOGGED_NAMES],
         )
 
     async def _watch(self) -> None:
