--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import copy
 import itertools
 import sys
 
@@ -25,6 +26,7 @@
         current ones
     :ivar history: all events, oldest first
     :ivar compacted: revision below which watches are refused with 410
+    :ivar era: rises with each restore of a copy
     :ivar calls: method and path of each request
     """
 
@@ -33,6 +35,7 @@
         self.items = {}
         self.history = []
         self.compacted = 0
+        self.era = 1
         self.leases = {}
         self.silent = False
         self.busy = 0
@@ -92,6 +95,19 @@
     def compact(self):
         self.compacted = self.revision
 
+    def take_copy(self):
+        """Return the state that ``restore`` brings back."""
+        return copy.deepcopy((self.revision, self.items, self.leases))
+
+    def restore(self, state):
+        """Replace everything by a copy; cut the watches."""
+        self.revision, self.items, self.leases = copy.deepcopy(state)
+        self.history = []
+        self.compacted = self.revision
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _append_event(self, event):
         self.history.append(event)
         self._changed.set()
@@ -105,6 +121,7 @@
             if self.busy:
                 return web.Response(status=self.busy)
             response = await handler(request)
+            response.headers["Store-Era"] = str(self.era)
             if self.lose and request.method == "POST":
                 self.lose -= 1
                 request.transport.abort()
@@ -146,9 +163,13 @@
             asyncio.get_running_loop().time()
             + int(request.query["wait_ms"]) / 1000
         )
-        if after < self.compacted:
+        if not self.compacted <= after <= self.revision:
             return web.Response(status=410)
+        era = self.era
         while True:
+            if self.era != era:
+                # The watch is cut.
+                return web.Response(status=503)
             changed = self._changed
             events = [
                 event
