Order what is known by the epoch of the store and the revision

Callers saw: after a restore of the store from an older copy, new flows went on to servers whose drain the store had confirmed more than 3 s before.

Cause: a revision is a point in time only within one history of the store.

Change: positions of epoch and revision. The copy is newer by its epoch and older by its content, so what it says is held until it is written again or time confirms it: drains and incarnations are not undone, missing servers have 2.5 s to register.

--- a/src/cyclamenridge/adapters/etcd.py
+++ b/src/cyclamenridge/adapters/etcd.py
@@ -175,7 +175,12 @@
         )
 
     async def watch(
-        self, key: str, *, start_revision: int, prefix: bool = False
+        self,
+        key: str,
+        *,
+        start_revision: int,
+        prefix: bool = False,
+        epoch: int = 0,
     ) -> AsyncIterator[store.WatchBatch]:
         """Watch the changes of a key, or of all keys with a prefix."""
         if prefix:
--- a/src/cyclamenridge/adapters/jsonlog.py
+++ b/src/cyclamenridge/adapters/jsonlog.py
@@ -56,7 +56,7 @@
             seq=packet.seq,
             copy=packet.ack,
             server=server.entry.name,
-            server_revision=server.revision,
+            server_revision=server.position.revision,
             waiting=stats.pending,
             waiting_elsewhere=round(stats.peer_pending, 1),
             answered_ms_ago=stats.answered_ms_ago(now_ms),
--- a/src/cyclamenridge/compose_flows.py
+++ b/src/cyclamenridge/compose_flows.py
@@ -42,6 +42,7 @@
     core = core_lib.FlowCore(
         failure_domain=settings.failure_domain,
         longest_flow_ms=settings.longest_flow_ms,
+        report_interval_ms=settings.report_interval_ms,
         selector=selection.LeastLoadedSelector(settings.failure_domain, rng),
         rng=rng,
         log=log,
--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -46,6 +46,7 @@
         *,
         failure_domain: str,
         longest_flow_ms: int,
+        report_interval_ms: int,
         selector: selection.ServerSelector,
         rng: random.Random,
         log: log_port.FlowLog,
@@ -55,7 +56,9 @@
             "handshake": latency.LatencyHistogram(),
             "first_answer": latency.LatencyHistogram(),
         }
-        self.directory = directory_lib.Directory(longest_flow_ms)
+        self.directory = directory_lib.Directory(
+            longest_flow_ms, report_interval_ms=report_interval_ms
+        )
         self.server_stats = stats_lib.ServerStatsTable()
         self.reachability = reachability_lib.DomainReachability(failure_domain)
         self.routes: routes_lib.RouteTable | None = None
@@ -103,8 +106,15 @@
         return self.routes is not None and len(self.directory) > 0
 
     def configure(self, table: routes_lib.RouteTable) -> bool:
-        """Apply a configuration; return False unless it is newer."""
-        if self.routes is not None and table.version <= self.routes.version:
+        """Apply a configuration; return False unless it is newer.
+
+        The store may lose a version that was not confirmed to the operator,
+        who then writes another one with the same number.
+        """
+        if self.routes is not None and (table.version, table.epoch) <= (
+            self.routes.version,
+            self.routes.epoch,
+        ):
             return False
         self.routes = table
         self._opener.set_routes(table)
@@ -116,6 +126,7 @@
         was_lost, self.store_lost = self.store_lost, False
         if was_lost:
             self._liveness.store_returned_ms = now_ms
+            self.directory.restart_holds(now_ms)
         return was_lost
 
     def record_store_failure(self) -> bool:
@@ -216,7 +227,7 @@
                 "unknown_token",
                 packet,
                 token=packet.token,
-                store_revision=self.directory.revision,
+                store_revision=self.directory.position.revision,
             )
             return effects.DROP
         if self.routes is not None and (
--- a/src/cyclamenridge/flow/directory.py
+++ b/src/cyclamenridge/flow/directory.py
@@ -7,6 +7,9 @@
 import msgspec
 
 from cyclamenridge import address as address_lib
+from cyclamenridge.flow import position as position_lib
+
+Position = position_lib.Position
 
 
 class ServerState(enum.Enum):
@@ -23,6 +26,7 @@
     :param warmup_ms: remaining warm-up time when the entry was written
     :param born_ms: start of the incarnation, Unix time in milliseconds
     :param revision: store revision of the entry
+    :param epoch: epoch of the store that the revision belongs to
     """
 
     name: str
@@ -35,27 +39,51 @@
     warmup_ms: int
     born_ms: int
     revision: int
+    epoch: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Return the point in the store's history at which it was written."""
+        return Position(self.epoch, self.revision)
+
+    def is_older_state_than(self, other: "ServerEntry") -> bool:
+        """Return whether the server left this state before another one.
+
+        Holds for an earlier incarnation, and for a ready one that drains
+        according to the other entry: no server takes back that it leaves.
+        """
+        if self.born_ms != other.born_ms:
+            return self.born_ms < other.born_ms
+        return (
+            self.state is ServerState.READY
+            and other.state is ServerState.DRAINING
+        )
 
 
 class Server:
     """Backend server with its newest entry.
 
-    :ivar revision: store revision of the newest entry or removal
+    :ivar position: store position of the newest entry or removal
     :ivar token: value that identifies the server in packets of its flows
     :ivar removed_ms: when the entry was removed, None while it is listed
     :ivar warmup_end_ms: when the warm-up is expected to end
     """
 
-    __slots__ = ("entry", "removed_ms", "revision", "token", "warmup_end_ms")
+    __slots__ = ("entry", "position", "removed_ms", "token", "warmup_end_ms")
 
     def __init__(self, entry: ServerEntry, now_ms: int) -> None:
         self.entry = entry
-        self.revision = entry.revision
+        self.position = entry.position
         self.token = token_of(entry.ident)
         self.removed_ms: int | None = None
         self.warmup_end_ms = now_ms + entry.warmup_ms
 
 
+# A server that is alive and reaches the store registers again within two
+# seconds after the store has returned.
+REGISTRATION_TIMEOUT_MS = 2500
+# The store removes the entry of a server after it missed this many reports.
+_MAX_MISSED_REPORTS = 3
 # Removed servers are kept for the lifetime of their flows times this factor,
 # because the end of a flow is noticed late.
 RETENTION_FACTOR = 1.5
@@ -73,11 +101,45 @@
     return token or 1
 
 
+class Listing(msgspec.Struct, frozen=True):
+    """What a complete list of servers changed.
+
+    :param put: names of servers with a newer entry
+    :param removed: names of servers that are no longer listed
+    :param held: names of servers for which the list has to be confirmed
+    """
+
+    put: list[str]
+    removed: list[str]
+    held: list[str]
+
+
+class _Held(msgspec.Struct):
+    """What a restored store says of a server and may have to take back.
+
+    :ivar entry: None if the store does not list the server
+    """
+
+    entry: ServerEntry | None
+    position: Position
+    since_ms: int
+
+
 class Directory:
-    """Servers by name and by token; older entries never replace newer ones."""
+    """Servers by name and by token; older entries never replace newer ones.
+
+    A store that was restored from an older copy lists servers in states that
+    they have left, and lacks servers, until they have written their entries
+    again. Such entries are held until they are written again or time has
+    confirmed them: the store removes the entry of a server that is gone.
 
-    def __init__(self, longest_flow_ms: int) -> None:
-        self.revision = 0
+    :ivar position: store position up to which changes are applied
+    """
+
+    def __init__(
+        self, longest_flow_ms: int, *, report_interval_ms: int
+    ) -> None:
+        self.position = Position()
         self._retention_ms = longest_flow_ms * RETENTION_FACTOR
         self._servers: dict[str, Server] = {}
         self._by_token: dict[int, Server] = {}
@@ -87,6 +149,10 @@
         self._ready_by_service: dict[str, list[Server]] = {}
         self._ready_slots: dict[str, int] = {}
         self._is_indexed = True
+        self._held: dict[str, _Held] = {}
+        self._entry_hold_ms = (
+            REGISTRATION_TIMEOUT_MS + _MAX_MISSED_REPORTS * report_interval_ms
+        )
 
     def __iter__(self) -> Iterator[Server]:
         return iter(self._servers.values())
@@ -125,24 +191,26 @@
             and not self.has_token_collision(server)
         )
 
-    def is_outdated(self, entry: ServerEntry) -> bool:
-        """Return whether an entry contradicts a newer one of its server."""
+    def put(self, now_ms: int, entry: ServerEntry) -> bool:
+        """Store an entry; return False if a newer one is known.
+
+        An entry that is of a later epoch but in an older state is held.
+        """
         server = self._servers.get(entry.name)
-        return (
+        if server is not None and server.position >= entry.position:
+            return False
+        if (
             server is not None
-            and server.revision >= entry.revision
-            and (
-                server.removed_ms is not None
-                or (server.entry.state, server.entry.born_ms)
-                != (entry.state, entry.born_ms)
-            )
-        )
+            and server.position.epoch < entry.epoch
+            and entry.is_older_state_than(server.entry)
+        ):
+            self._hold(now_ms, entry.name, entry.position, entry)
+            return False
+        self._set(now_ms, entry)
+        return True
 
-    def put(self, now_ms: int, entry: ServerEntry) -> bool:
-        """Store an entry; return False if a newer one is known."""
+    def _set(self, now_ms: int, entry: ServerEntry) -> None:
         server = self._servers.get(entry.name)
-        if server is not None and server.revision >= entry.revision:
-            return False
         fresh = Server(entry, now_ms)
         if server is not None and server.entry.born_ms == entry.born_ms:
             # Servers report the remaining warm-up once, at their start, and
@@ -159,14 +227,15 @@
         ):
             self._by_token[fresh.token] = fresh
         self._is_indexed = False
-        return True
+        self._held.pop(entry.name, None)
 
-    def remove(self, now_ms: int, name: str, revision: int) -> bool:
+    def remove(self, now_ms: int, name: str, position: Position) -> bool:
         """Mark a server as removed; return whether that changed its state."""
         server = self._servers.get(name)
-        if server is None or server.revision >= revision:
+        if server is None or server.position >= position:
             return False
-        server.revision = revision
+        server.position = position
+        self._held.pop(name, None)
         if server.removed_ms is not None:
             return False
         server.removed_ms = now_ms
@@ -174,11 +243,11 @@
         return True
 
     def replace(
-        self, now_ms: int, revision: int, entries: Iterable[ServerEntry]
-    ) -> tuple[list[str], list[str]]:
-        """Apply a complete list of servers; return names put and removed.
+        self, now_ms: int, position: Position, entries: Iterable[ServerEntry]
+    ) -> Listing:
+        """Apply a complete list of servers.
 
-        :param revision: store revision at which reading the list began
+        :param position: store position at which reading the list began
         """
         put = []
         names = set()
@@ -188,15 +257,72 @@
                 put.append(entry.name)
         removed = [
             name
-            for name, server in list(self._servers.items())
-            if name not in names and self.remove(now_ms, name, revision)
+            for name in list(self._servers)
+            if name not in names and self._drop(now_ms, name, position)
         ]
-        self.advance_revision(revision)
-        return put, removed
+        self.advance(position)
+        return Listing(put, removed, list(self._held))
+
+    def _drop(self, now_ms: int, name: str, position: Position) -> bool:
+        """Remove a server that a list omits, or hold that it is missing."""
+        server = self._servers[name]
+        if (
+            server.removed_ms is None
+            and server.position.epoch < position.epoch
+        ):
+            since_ms = self._hold(now_ms, name, position, None)
+            if now_ms - since_ms < REGISTRATION_TIMEOUT_MS:
+                return False
+        return self.remove(now_ms, name, position)
+
+    def _hold(
+        self,
+        now_ms: int,
+        name: str,
+        position: Position,
+        entry: ServerEntry | None,
+    ) -> int:
+        """Hold what the store says; return since when it has to be confirmed.
+
+        The time starts anew with each epoch.
+        """
+        since_ms = now_ms
+        held = self._held.get(name)
+        if held is not None and held.position.epoch == position.epoch:
+            since_ms = held.since_ms
+        self._held[name] = _Held(entry, position, since_ms)
+        return since_ms
+
+    def settle(self, now_ms: int) -> list[str]:
+        """Apply what was held for long enough; return the names.
+
+        To be called when all changes up to ``now_ms`` are applied.
+        """
+        names = []
+        for name, held in list(self._held.items()):
+            hold_ms = (
+                REGISTRATION_TIMEOUT_MS
+                if held.entry is None
+                else self._entry_hold_ms
+            )
+            if now_ms - held.since_ms < hold_ms:
+                continue
+            names.append(name)
+            del self._held[name]
+            if held.entry is None:
+                self.remove(now_ms, name, held.position)
+            else:
+                self._set(now_ms, held.entry)
+        return names
+
+    def restart_holds(self, now_ms: int) -> None:
+        """Hold everything anew, because the store was away meanwhile."""
+        for held in self._held.values():
+            held.since_ms = now_ms
 
-    def advance_revision(self, revision: int) -> None:
-        """Record that all changes up to a store revision are applied."""
-        self.revision = max(self.revision, revision)
+    def advance(self, position: Position) -> None:
+        """Record that all changes up to a store position are applied."""
+        self.position = max(self.position, position)
 
     def evict_removed(self, now_ms: int) -> list[str]:
         """Drop servers whose retention has ended; return their names."""
--- a/src/cyclamenridge/flow/liveness.py
+++ b/src/cyclamenridge/flow/liveness.py
@@ -3,9 +3,6 @@
 from cyclamenridge.flow import directory as directory_lib
 from cyclamenridge.flow import server_stats as stats_lib
 
-# A server that is alive and reaches the store registers again within two
-# seconds after the store has returned.
-REGISTRATION_TIMEOUT_MS = 2500
 # Retransmissions of one flow without an answer that confirm a removal. Two
 # packets of a flow are hardly ever lost in a row while the server is alive.
 MIN_RETRANSMISSIONS = 2
@@ -47,7 +44,10 @@
         """
         if server.removed_ms is None or store_lost:
             return False
-        if now_ms - self.store_returned_ms < REGISTRATION_TIMEOUT_MS:
+        if (
+            now_ms - self.store_returned_ms
+            < directory_lib.REGISTRATION_TIMEOUT_MS
+        ):
             return False
         stats = self._server_stats.for_server(server.entry.name)
         if stats.last_answer_ms >= server.removed_ms:
--- a/src/cyclamenridge/flow/opening.py
+++ b/src/cyclamenridge/flow/opening.py
@@ -208,7 +208,7 @@
             "no_server",
             packet,
             service=service,
-            store_revision=self._directory.revision,
+            store_revision=self._directory.position.revision,
         )
         return effects.RESET if rec.is_unsent() else effects.DROP
 
--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -7,6 +7,7 @@
 import cyclamenridge.errors as errors
 from cyclamenridge.flow import core as core_lib
 from cyclamenridge.flow import directory as directory_lib
+from cyclamenridge.flow import position as position_lib
 from cyclamenridge.flow import routes as routes_lib
 
 BEACON_INTERVAL_MS = 200
@@ -44,6 +45,7 @@
     :param version: version of the configuration in force, 0 for none
     :param revision: store revision up to which changes are applied
     :param members: addresses of some of the sender's peers
+    :param epoch: epoch of the store that the revision belongs to
     """
 
     name: str
@@ -53,18 +55,21 @@
     revision: int
     loads: list[Load]
     members: list[str]
+    epoch: int = 0
 
 
 class Snapshot(msgspec.Struct, frozen=True):
     """Configuration and servers that a balancer transfers to a peer.
 
     :param removed: removed servers whose flows may still be open
+    :param epoch: epoch of the store that the revision belongs to
     """
 
     routes: routes_lib.RouteTable | None
     revision: int
     servers: list[directory_lib.ServerEntry]
     removed: list[directory_lib.ServerEntry]
+    epoch: int = 0
 
 
 class BeaconAction(msgspec.Struct, frozen=True):
@@ -127,8 +132,8 @@
         self._unheard_hosts: dict[str, int] = {}
         self._next_seed_ms = 0
         self._next_pull_ms = 0
-        # Own version and revision at the first beacon of a peer ahead of them.
-        self._lagging_at: tuple[int, int] | None = None
+        # Own version and position at the first beacon of a peer ahead of them.
+        self._lagging_at: tuple[int, position_lib.Position] | None = None
         self._lagging_since_ms = 0
 
     def __len__(self) -> int:
@@ -199,9 +204,10 @@
                 self._failure_domain,
                 request_reply,
                 self._version,
-                self._core.directory.revision,
+                self._core.directory.position.revision,
                 loads,
                 members,
+                self._core.directory.position.epoch,
             )
         )
 
@@ -237,8 +243,9 @@
 
     def _is_behind(self, now_ms: int, beacon: Beacon) -> bool:
         """Return whether to catch up from a peer instead of the store."""
-        own = self._version, self._core.directory.revision
-        if beacon.version <= own[0] and beacon.revision <= own[1]:
+        own = self._version, self._core.directory.position
+        announced = position_lib.Position(beacon.epoch, beacon.revision)
+        if beacon.version <= own[0] and announced <= own[1]:
             return False
         if not self._core.can_place_flows or self._core.store_lost:
             return True
@@ -253,7 +260,7 @@
         return _encode(
             Snapshot(
                 self._core.routes,
-                directory.revision,
+                directory.position.revision,
                 [
                     server.entry
                     for server in directory
@@ -264,6 +271,7 @@
                     for server in directory
                     if server.removed_ms is not None
                 ],
+                directory.position.epoch,
             )
         )
 
@@ -282,11 +290,13 @@
         if snapshot.routes is not None:
             is_changed = self._core.configure(snapshot.routes)
         directory = self._core.directory
-        if snapshot.revision > directory.revision:
+        position = position_lib.Position(snapshot.epoch, snapshot.revision)
+        if position > directory.position:
             for entry in snapshot.removed:
                 if directory.get(entry.name) is None:
                     directory.put(now_ms, entry)
-            directory.replace(now_ms, snapshot.revision, snapshot.servers)
+                directory.remove(now_ms, entry.name, position)
+            directory.replace(now_ms, position, snapshot.servers)
             is_changed = True
         return is_changed
 
--- a/src/cyclamenridge/flow/routes.py
+++ b/src/cyclamenridge/flow/routes.py
@@ -47,12 +47,14 @@
 
     :param routes: routes by host and port
     :param idle_ms: idle timeout of flows
+    :param epoch: epoch of the store that it was read in
     """
 
     version: int
     routes: Mapping[tuple[int, int], Route]
     services: frozenset[str]
     idle_ms: int
+    epoch: int = 0
 
     def preferred_keys(self) -> frozenset[tuple[int, int]]:
         """Return the keys of routes that precede another one of a service."""
--- a/src/cyclamenridge/flow/settings.py
+++ b/src/cyclamenridge/flow/settings.py
@@ -24,6 +24,7 @@
     :param contact_ms: time after a disruption in which no change has to take
         effect
     :param longest_flow_ms: maximum lifetime of a flow
+    :param report_interval_ms: interval at which servers report to the store
     :param metrics_port: port that serves metrics and the state dump
     """
 
@@ -39,6 +40,7 @@
     change_ms: int
     contact_ms: int
     longest_flow_ms: int
+    report_interval_ms: int
     metrics_port: int
 
 
--- a/src/cyclamenridge/flow_reports.py
+++ b/src/cyclamenridge/flow_reports.py
@@ -51,7 +51,8 @@
                     for _, stats in core.server_stats.items()
                 ),
                 "config_version": 0 if routes is None else routes.version,
-                "store_revision": core.directory.revision,
+                "store_revision": core.directory.position.revision,
+                "store_epoch": core.directory.position.epoch,
                 "store_age_seconds": (now_ms - core.last_store_answer_ms)
                 / 1000,
             },
@@ -72,7 +73,8 @@
                 "failure_domain": entry.failure_domain,
                 "state": entry.state.value,
                 "slots": entry.slots,
-                "revision": server.revision,
+                "epoch": server.position.epoch,
+                "revision": server.position.revision,
                 "removed_ms_ago": (
                     None
                     if server.removed_ms is None
@@ -89,7 +91,8 @@
             {
                 "config_version": 0 if routes is None else routes.version,
                 "routes": 0 if routes is None else len(routes.routes),
-                "store_revision": core.directory.revision,
+                "store_epoch": core.directory.position.epoch,
+                "store_revision": core.directory.position.revision,
                 "store_heard_ms_ago": now_ms - core.last_store_answer_ms,
                 "flows": core.flow_count,
                 "peers": self._peers.names(),
--- a/src/cyclamenridge/peer_link.py
+++ b/src/cyclamenridge/peer_link.py
@@ -94,7 +94,7 @@
 
     async def _pull_snapshot(self, host: str) -> None:
         client = http.HttpClient(address_lib.Address(host, self._port))
-        previous_revision = self._core.directory.revision
+        previous = self._core.directory.position
         try:
             response = await client.request(
                 "GET",
@@ -106,12 +106,15 @@
                 self._clock.now_ms(), response.body
             ):
                 routes = self._core.routes
+                position = self._core.directory.position
                 self._log.process_event(
                     "snapshot_taken",
                     peer=host,
                     config=0 if routes is None else routes.version,
-                    revision=self._core.directory.revision,
-                    previous_revision=previous_revision,
+                    epoch=position.epoch,
+                    revision=position.revision,
+                    previous_epoch=previous.epoch,
+                    previous_revision=previous.revision,
                 )
                 self._on_update()
         except (
--- a/src/cyclamenridge/platform/records.py
+++ b/src/cyclamenridge/platform/records.py
@@ -85,7 +85,9 @@
         """Return the name of the server that a key belongs to."""
         return key.removeprefix(SERVER_PREFIX)
 
-    def decode_config(self, value: bytes) -> routes.RouteTable:
+    def decode_config(
+        self, value: bytes, *, epoch: int = 0
+    ) -> routes.RouteTable:
         """Decode a configuration.
 
         :raises ConfigError: when any part of it is invalid
@@ -113,10 +115,11 @@
             routes=table,
             services=frozenset(service.name for service in cfg.services),
             idle_ms=cfg.limits.idle_timeout_ms,
+            epoch=epoch,
         )
 
     def decode_server(
-        self, key: str, value: bytes, revision: int
+        self, key: str, value: bytes, revision: int, *, epoch: int = 0
     ) -> directory.ServerEntry:
         """Decode the entry of a backend server.
 
@@ -146,6 +149,7 @@
             warmup_ms=max(0, round(server.warmup_left_ms)),
             born_ms=server.born,
             revision=revision,
+            epoch=epoch,
         )
 
 
--- a/src/cyclamenridge/platform/settings.py
+++ b/src/cyclamenridge/platform/settings.py
@@ -46,6 +46,7 @@
         longest_flow_ms=reader.milliseconds(
             "bounds.max_flow_s", 60, unit_ms=1000
         ),
+        report_interval_ms=reader.milliseconds("heartbeat_ms", 1200),
         metrics_port=metrics_port,
     )
     reader.require("discovery", "platform")
--- a/src/cyclamenridge/platform/store.py
+++ b/src/cyclamenridge/platform/store.py
@@ -111,6 +111,7 @@
         """
         entries: dict[str, store.KeyValue] = {}
         revision = 0
+        epoch: int | None = None
         after = ""
         for _ in range(_MAX_PAGES):
             query = {"prefix": prefix}
@@ -121,6 +122,12 @@
             response = await self._read("/kv-range", **query)
             page = _decode_response(response, _RangeResponse)
             revision = revision or page.store_revision
+            if epoch is None:
+                epoch = _epoch_of(response)
+            elif epoch != _epoch_of(response):
+                raise errors.StoreError(
+                    "the store changed its epoch meanwhile"
+                )
             for item in page.items:
                 entries[item.key] = store.KeyValue(
                     item.key, _decode_value(item.value), item.revision
@@ -129,7 +136,7 @@
                 return store.RangeResult(
                     revision,
                     tuple(entries[key] for key in sorted(entries)),
-                    _epoch_of(response),
+                    epoch,
                 )
             after = page.items[-1].key
         raise errors.StoreError("the store returned too many pages")
@@ -175,7 +182,12 @@
         )
 
     async def watch(
-        self, key: str, *, start_revision: int, prefix: bool = False
+        self,
+        key: str,
+        *,
+        start_revision: int,
+        prefix: bool = False,
+        epoch: int = 0,
     ) -> AsyncIterator[store.WatchBatch]:
         """Watch one key, or with ``prefix`` all keys that begin with it."""
         client = http.HttpClient(self._address)
@@ -198,6 +210,11 @@
                     timeout_ms=wait_ms + WATCH_MARGIN_MS,
                 )
                 wait_ms = self._watch_wait_ms
+                found_epoch = _epoch_of(response)
+                if epoch and found_epoch and found_epoch != epoch:
+                    raise store.WatchLostError(
+                        f"the store went from epoch {epoch} to {found_epoch}"
+                    )
                 if response.status == 410:
                     raise store.WatchLostError(
                         f"history after revision {after} was compacted"
--- a/src/cyclamenridge/ports/records.py
+++ b/src/cyclamenridge/ports/records.py
@@ -22,18 +22,22 @@
         """Return the name of the server that a key belongs to."""
 
     @abc.abstractmethod
-    def decode_config(self, value: bytes) -> routes.RouteTable:
+    def decode_config(
+        self, value: bytes, *, epoch: int = 0
+    ) -> routes.RouteTable:
         """Decode a configuration.
 
+        :param epoch: epoch of the store that it was read in
         :raises ConfigError: when it is not valid
         """
 
     @abc.abstractmethod
     def decode_server(
-        self, key: str, value: bytes, revision: int
+        self, key: str, value: bytes, revision: int, *, epoch: int = 0
     ) -> directory.ServerEntry:
         """Decode the record of a backend server.
 
         :param revision: store revision of the record
+        :param epoch: epoch of the store that the revision belongs to
         :raises StoreError: when it is not valid
         """
--- a/src/cyclamenridge/ports/store.py
+++ b/src/cyclamenridge/ports/store.py
@@ -147,13 +147,21 @@
 
     @abc.abstractmethod
     def watch(
-        self, key: str, *, start_revision: int, prefix: bool = False
+        self,
+        key: str,
+        *,
+        start_revision: int,
+        prefix: bool = False,
+        epoch: int = 0,
     ) -> AsyncIterator[WatchBatch]:
         """Watch the changes of a key, or of all keys with a prefix.
 
         The iteration ends only by an error. After WatchLostError the key
         must be read again; after any other error the watch may be reopened
         at the next revision.
+
+        :param epoch: epoch that the start revision belongs to; the watch is
+            lost if the store has another one. 0 if it is not known.
         """
 
     @abc.abstractmethod
--- a/src/cyclamenridge/store_follower.py
+++ b/src/cyclamenridge/store_follower.py
@@ -9,6 +9,7 @@
 from cyclamenridge.flow import core as core_lib
 from cyclamenridge.flow import directory
 from cyclamenridge.flow import log as log_port
+from cyclamenridge.flow import position as position_lib
 from cyclamenridge.flow import routes
 from cyclamenridge.ports import component
 from cyclamenridge.ports import records as records_port
@@ -97,52 +98,73 @@
 
     async def _read_all(self, *, stale: bool) -> None:
         result = await self._store.range("", stale=stale)
-        known_revision = self._core.directory.revision
+        known = self._core.directory.position
+        position = position_lib.Position(result.epoch, result.revision)
+        if position.epoch < known.epoch:
+            raise store_port.WatchLostError(
+                f"the store answered from epoch {position.epoch} after "
+                f"{known.epoch}"
+            )
+        self._note_store_answer()
         server_entries = []
+        refused = []
         for entry in result.entries:
             if self._records.is_config(entry.key):
-                self._apply_config(entry.value)
+                self._apply_config(entry.value, position.epoch)
             elif self._records.is_server(entry.key):
                 server_entry = self._decode_server_entry(
-                    entry.key, entry.value, entry.mod_revision
+                    entry.key,
+                    entry.value,
+                    position_lib.Position(position.epoch, entry.mod_revision),
                 )
-                if server_entry is not None:
+                if server_entry is None:
+                    refused.append(self._records.server_name(entry.key))
+                else:
                     server_entries.append(server_entry)
-        outdated = [
-            entry.name
-            for entry in server_entries
-            if self._core.directory.is_outdated(entry)
-        ]
-        self._core.counters["store_reads"] += 1
-        self._core.counters["entries_outdated"] += len(outdated)
         now_ms = self._clock.now_ms()
-        put, removed = self._core.directory.replace(
-            now_ms, result.revision, server_entries
+        listing = self._core.directory.replace(
+            now_ms, position, server_entries
         )
-        self._note_store_answer()
+        for name in refused:
+            self._core.directory.remove(now_ms, name, position)
+        self._settle(now_ms)
+        self._core.counters["store_reads"] += 1
+        self._core.counters["entries_held"] += len(listing.held)
         self._log.process_event(
             "store_read",
-            epoch=result.epoch,
-            revision=result.revision,
-            known_revision=known_revision,
+            epoch=position.epoch,
+            revision=position.revision,
+            known_epoch=known.epoch,
+            known_revision=known.revision,
             stale=stale,
             servers=len(server_entries),
-            put=put[:MAX_LOGGED_NAMES],
-            removed=removed[:MAX_LOGGED_NAMES],
-            outdated=outdated[:MAX_LOGGED_NAMES],
+            put=listing.put[:MAX_LOGGED_NAMES],
+            removed=listing.removed[:MAX_LOGGED_NAMES],
+            held=listing.held[:MAX_LOGGED_NAMES],
         )
 
     async def _watch(self) -> None:
+        start = self._core.directory.position
         batches = self._store.watch(
-            "", start_revision=self._core.directory.revision + 1, prefix=True
+            "",
+            start_revision=start.revision + 1,
+            prefix=True,
+            epoch=start.epoch,
         )
         is_confirmed = False
         async for batch in batches:
             self._note_store_answer()
             now_ms = self._clock.now_ms()
+            if start.epoch < self._core.directory.position.epoch:
+                raise store_port.WatchLostError(
+                    f"a peer knows a later epoch than {start.epoch}"
+                )
             for change in batch.changes:
-                self._apply_change(now_ms, change)
-            self._core.directory.advance_revision(batch.revision)
+                self._apply_change(now_ms, change, start.epoch)
+            self._core.directory.advance(
+                position_lib.Position(start.epoch, batch.revision)
+            )
+            self._settle(now_ms)
             if batch.changes or not is_confirmed:
                 # A stale read may list servers that have left. The first
                 # batch brings what has changed since.
@@ -151,16 +173,24 @@
             if batch.changes:
                 await asyncio.sleep(self._coalesce_ms / 1000)
 
-    def _apply_change(self, now_ms: int, change: store_port.Change) -> None:
+    def _settle(self, now_ms: int) -> None:
+        names = self._core.directory.settle(now_ms)
+        if names:
+            self._log.process_event(
+                "held_entries_applied", servers=names[:MAX_LOGGED_NAMES]
+            )
+
+    def _apply_change(
+        self, now_ms: int, change: store_port.Change, epoch: int
+    ) -> None:
+        position = position_lib.Position(epoch, change.mod_revision)
         if self._records.is_config(change.key):
             if change.value is not None:
-                self._apply_config(change.value)
+                self._apply_config(change.value, epoch)
         elif self._records.is_server(change.key):
             name = self._records.server_name(change.key)
             if change.value is None:
-                if self._core.directory.remove(
-                    now_ms, name, change.mod_revision
-                ):
+                if self._core.directory.remove(now_ms, name, position):
                     self._log.process_event(
                         "server_removed",
                         server=name,
@@ -168,10 +198,10 @@
                     )
                 return
             server_entry = self._decode_server_entry(
-                change.key, change.value, change.mod_revision
+                change.key, change.value, position
             )
             if server_entry is None:
-                self._core.directory.remove(now_ms, name, change.mod_revision)
+                self._core.directory.remove(now_ms, name, position)
             elif self._core.directory.put(now_ms, server_entry):
                 self._log.process_event(
                     "server_listed",
@@ -184,25 +214,32 @@
                 )
 
     def _decode_server_entry(
-        self, key: str, value: bytes, revision: int
+        self, key: str, value: bytes, position: position_lib.Position
     ) -> directory.ServerEntry | None:
         try:
-            return self._records.decode_server(key, value, revision)
+            return self._records.decode_server(
+                key, value, position.revision, epoch=position.epoch
+            )
         except errors.StoreError as exc:
             self._core.counters["entries_refused"] += 1
             self._log.process_event("entry_refused", key=key, error=str(exc))
             return None
 
-    def _apply_config(self, value: bytes) -> None:
+    def _apply_config(self, value: bytes, epoch: int) -> None:
         try:
-            table: routes.RouteTable = self._records.decode_config(value)
+            table: routes.RouteTable = self._records.decode_config(
+                value, epoch=epoch
+            )
         except errors.ConfigError as exc:
             self._core.counters["configurations_refused"] += 1
             self._log.process_event("configuration_refused", error=str(exc))
             return
         if self._core.configure(table):
             self._log.process_event(
-                "configured", version=table.version, routes=len(table.routes)
+                "configured",
+                version=table.version,
+                epoch=epoch,
+                routes=len(table.routes),
             )
 
     def _note_store_answer(self) -> None:
--- a/tests/flow/builders.py
+++ b/tests/flow/builders.py
@@ -8,6 +8,7 @@
 from cyclamenridge.flow import effects
 from cyclamenridge.flow import log
 from cyclamenridge.flow import packet as packet_lib
+from cyclamenridge.flow import position as position_lib
 from cyclamenridge.flow import routes
 from cyclamenridge.flow import selection
 
@@ -59,6 +60,11 @@
         self.events.append((event, fields))
 
 
+def at(revision, epoch=0):
+    """Return a position in the history of the store."""
+    return position_lib.Position(epoch, revision)
+
+
 def server_entry(number, **changes):
     """Return the entry of a server whose number is its id and address."""
     fields = {
@@ -83,6 +89,7 @@
     core = core_lib.FlowCore(
         failure_domain=failure_domain,
         longest_flow_ms=60_000,
+        report_interval_ms=1200,
         selector=selection.LeastLoadedSelector(failure_domain, rng),
         rng=rng,
         log=ListLog(),
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -198,7 +198,7 @@
     if copy:
         assert builders.forwards(flow.syn(0))
     for item in SERVERS:
-        core.directory.remove(10, item.name, 500)
+        core.directory.remove(10, item.name, builders.at(500))
     out = flow.syn(200, copy)
     assert out == (effects.DROP if copy else effects.RESET)
 
@@ -432,7 +432,7 @@
     assert flow.syn(resumed_ms) == effects.DROP
     assert core.release(resumed_ms + 10) == []
     for item in SERVERS[1:]:
-        core.directory.remove(resumed_ms + 20, item.name, 500)
+        core.directory.remove(resumed_ms + 20, item.name, builders.at(500))
     outs = released_until(core, resumed_ms + 50, resumed_ms + 60)
     assert [item.ident for item in builders.forwards(outs[1])] == [1]
 
--- a/tests/flow/test_core.py
+++ b/tests/flow/test_core.py
@@ -30,7 +30,7 @@
     flow = builders.Flow(core)
     forward = flow.open(0)
     server = core.directory.by_token(forward.token)
-    core.directory.remove(10, server.entry.name, 99)
+    core.directory.remove(10, server.entry.name, builders.at(99))
     assert flow.request(20) == (forward,)
 
 
@@ -40,7 +40,7 @@
     forward = builders.Flow(core).open(0)
     assert forward.ident == 7
     # The address now belongs to a server of another service.
-    core.directory.remove(10, "i-00000007", 50)
+    core.directory.remove(10, "i-00000007", builders.at(50))
     core.directory.put(
         20,
         builders.server_entry(
@@ -83,7 +83,7 @@
             ),
         )
     else:
-        core.directory.remove(5, name, 70)
+        core.directory.remove(5, name, builders.at(70))
     for number in range(50):
         other = builders.Flow(core, client_port=number)
         assert other.open(10 + number).ident != leaving.ident
@@ -215,7 +215,7 @@
     winner = core.directory.by_token(both[1].token)
     for server in list(core.directory):
         if server is not winner:
-            core.directory.remove(5011, server.entry.name, 500)
+            core.directory.remove(5011, server.entry.name, builders.at(500))
     again = builders.Flow(core, client_port=2)
     assert builders.forwards(again.syn(5020)) == [both[1]]
 
--- a/tests/flow/test_directory.py
+++ b/tests/flow/test_directory.py
@@ -5,11 +5,16 @@
 from tests.flow import builders
 
 FLOW_MS = 60_000
+REPORT_INTERVAL_MS = 1200
+
+
+def make_directory():
+    return directory.Directory(FLOW_MS, report_interval_ms=REPORT_INTERVAL_MS)
 
 
 def test_an_older_entry_never_replaces_a_newer_one():
     """A lagging watch or peer must not undo the drain of a server."""
-    servers = directory.Directory(FLOW_MS)
+    servers = make_directory()
     servers.put(0, builders.server_entry(1, revision=20))
     leaving = builders.server_entry(
         1, revision=30, state=directory.ServerState.DRAINING
@@ -20,41 +25,44 @@
 
 
 def test_an_older_listing_does_not_undo_a_removal():
-    servers = directory.Directory(FLOW_MS)
+    servers = make_directory()
     servers.put(0, builders.server_entry(1, revision=20))
-    servers.remove(1, "i-00000001", 30)
-    servers.replace(2, 25, [builders.server_entry(1, revision=20)])
+    servers.remove(1, "i-00000001", builders.at(30))
+    servers.replace(
+        2, builders.at(25), [builders.server_entry(1, revision=20)]
+    )
     assert servers.listed_servers("counter") == []
 
 
 def test_a_listing_removes_servers_that_it_omits():
-    servers = directory.Directory(FLOW_MS)
+    servers = make_directory()
     servers.put(0, builders.server_entry(1, revision=20))
     servers.put(0, builders.server_entry(2, revision=21))
-    put, removed = servers.replace(
+    listing = servers.replace(
         5,
-        40,
+        builders.at(40),
         [
             builders.server_entry(2, revision=21),
             builders.server_entry(3, revision=35),
         ],
     )
-    assert (put, removed) == (["i-00000003"], ["i-00000001"])
-    assert servers.revision == 40
+    assert listing.put == ["i-00000003"]
+    assert listing.removed == ["i-00000001"]
+    assert servers.position == builders.at(40)
 
 
 def test_a_listing_keeps_entries_that_are_newer_than_it():
     """A paged read is not atomic, and a watch may be ahead of a slow read."""
-    servers = directory.Directory(FLOW_MS)
+    servers = make_directory()
     servers.put(0, builders.server_entry(9, revision=50))
-    servers.replace(5, 40, [])
+    servers.replace(5, builders.at(40), [])
     assert [k.entry.ident for k in servers.listed_servers("counter")] == [9]
 
 
 def test_removed_servers_are_evicted_after_their_flows_have_ended():
-    servers = directory.Directory(FLOW_MS)
+    servers = make_directory()
     servers.put(0, builders.server_entry(1))
-    servers.remove(100, "i-00000001", 90)
+    servers.remove(100, "i-00000001", builders.at(90))
     retention_ms = FLOW_MS * directory.RETENTION_FACTOR
     assert retention_ms > FLOW_MS
     assert servers.evict_removed(100 + retention_ms) == []
@@ -65,7 +73,7 @@
 
 def test_token_collisions_are_detected():
     """A server must get no new flows if its token leads to another server."""
-    servers = directory.Directory(FLOW_MS)
+    servers = make_directory()
     servers.put(0, builders.server_entry(5, name="a"))
     servers.put(0, builders.server_entry(5 ^ 1 | 1 << 32, name="b"))
     first, second = servers.get("a"), servers.get("b")
@@ -95,10 +103,10 @@
     ]
     shuffled = events + rng.sample(events, len(events) // 2)
     rng.shuffle(shuffled)
-    servers = directory.Directory(FLOW_MS)
+    servers = make_directory()
     for revision, number, removed in shuffled:
         if removed:
-            servers.remove(0, f"i-{number:08x}", revision)
+            servers.remove(0, f"i-{number:08x}", builders.at(revision))
         else:
             servers.put(0, builders.server_entry(number, revision=revision))
     newest = {number: removed for _, number, removed in events}
@@ -113,7 +121,7 @@
 
     With 3,000 entries at 300 machines it took half of a core.
     """
-    servers = directory.Directory(FLOW_MS)
+    servers = make_directory()
     compared = 0
     has_token_collision = directory.Directory.has_token_collision
 
@@ -124,7 +132,7 @@
 
     monkeypatch.setattr(directory.Directory, "has_token_collision", count)
     entries = [builders.server_entry(number) for number in range(1, 3001)]
-    servers.replace(0, 4000, entries)
+    servers.replace(0, builders.at(4000), entries)
     assert len(servers.ready_servers("counter")) == 3000
     assert len(servers.listed_servers("counter")) == 3000
     assert compared == 3000
--- a/tests/flow/test_liveness.py
+++ b/tests/flow/test_liveness.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from cyclamenridge.flow import directory
 from cyclamenridge.flow import effects
-from cyclamenridge.flow import liveness
 from tests.flow import builders
 
 SERVERS = [builders.server_entry(number) for number in range(1, 8)]
@@ -49,7 +49,7 @@
 
     def remove(self, server=None):
         name = (server or self.server).entry.name
-        assert self.core.directory.remove(self.now_ms, name, 900)
+        assert self.core.directory.remove(self.now_ms, name, builders.at(900))
 
 
 @pytest.mark.parametrize("port", [builders.FEED_PORT, builders.PUSH_PORT])
@@ -122,7 +122,7 @@
     returned_ms = scene.now_ms
     assert scene.core.record_store_answer(returned_ms)
     while scene.now_ms + 220 < (
-        returned_ms + liveness.REGISTRATION_TIMEOUT_MS
+        returned_ms + directory.REGISTRATION_TIMEOUT_MS
     ):
         assert scene.retransmit(1) == (scene.forward,)
     assert scene.retransmit(2) == effects.RESET
@@ -168,7 +168,7 @@
     """A server that the read does not list yet is unknown, not gone."""
     scene = Scene()
     core = builders.make_core(*SERVERS[:3])
-    core.directory.replace(0, 50, SERVERS[:3])
+    core.directory.replace(0, builders.at(50), SERVERS[:3])
     flow = builders.Flow(core, client_port=1)
     flow.token = SERVERS[6].ident
     flow.request(scene.now_ms)
--- a/tests/flow/test_peers.py
+++ b/tests/flow/test_peers.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from cyclamenridge import errors
@@ -95,9 +96,9 @@
 def test_a_new_process_loads_the_state_of_its_peers():
     """The store may be unavailable when a process starts."""
     informed = Node(1, *SERVERS)
-    informed.core.directory.advance_revision(40)
-    informed.core.directory.remove(5, SERVERS[0].name, 41)
-    informed.core.directory.advance_revision(41)
+    informed.core.directory.advance(builders.at(40))
+    informed.core.directory.remove(5, SERVERS[0].name, builders.at(41))
+    informed.core.directory.advance(builders.at(41))
     fresh = Node(2, config=None)
     action = fresh.receive_beacon(0, informed)
     assert action.pull and action.reply
@@ -113,10 +114,41 @@
     assert builders.forwards(flow.request(10))
 
 
+def test_servers_that_were_removed_in_the_lost_history_are_not_listed():
+    """A process that started after a restore took them for missing ones."""
+    informed = Node(1, *SERVERS)
+    informed.core.directory.remove(5, SERVERS[0].name, builders.at(41))
+    informed.core.directory.advance(builders.at(20, 2))
+    fresh = Node(2, config=None)
+    assert fresh.peers.apply_snapshot(0, informed.peers.encode_snapshot())
+    listed = fresh.core.directory.listed_servers("counter")
+    assert [server.entry.ident for server in listed] == [2]
+    assert fresh.core.directory.position == builders.at(20, 2)
+
+
+def test_beacons_and_snapshots_of_the_version_before_are_understood():
+    """Balancers are replaced one by one."""
+    ahead = Node(2, *SERVERS)
+    ahead.core.directory.advance(builders.at(41))
+    beacon = msgspec.msgpack.decode(ahead.peers.encode_beacon())
+    here = Node(1, SERVERS[0])
+    here.core.store_lost = True
+    assert here.peers.handle_beacon(
+        0, ahead.host, msgspec.msgpack.encode(beacon[:-1])
+    ).pull
+    snapshot = msgspec.msgpack.decode(ahead.peers.encode_snapshot())
+    del snapshot["epoch"]
+    for entry in snapshot["servers"]:
+        del entry["epoch"]
+    del snapshot["routes"]["epoch"]
+    assert here.peers.apply_snapshot(0, msgspec.msgpack.encode(snapshot))
+    assert len(here.core.directory.listed_servers("counter")) == 2
+
+
 def test_an_older_snapshot_changes_nothing():
     newer, older = Node(1, *SERVERS), Node(2, SERVERS[0])
-    newer.core.directory.advance_revision(50)
-    older.core.directory.advance_revision(40)
+    newer.core.directory.advance(builders.at(50))
+    older.core.directory.advance(builders.at(40))
     older.core.routes = routes.RouteTable(3, {}, frozenset(), 1)
     assert not newer.peers.apply_snapshot(0, older.peers.encode_snapshot())
     assert newer.core.routes is builders.CONFIG
@@ -126,8 +158,8 @@
 def test_a_peer_that_stays_ahead_is_pulled_although_the_store_answers():
     """A watch may hang without an error."""
     here, ahead = Node(1, *SERVERS), Node(2, *SERVERS)
-    here.core.directory.advance_revision(40)
-    ahead.core.directory.advance_revision(41)
+    here.core.directory.advance(builders.at(40))
+    ahead.core.directory.advance(builders.at(41))
     assert not here.receive_beacon(0, ahead).pull
     assert not here.receive_beacon(LAG_TOLERANCE_MS - 1, ahead).pull
     assert here.receive_beacon(LAG_TOLERANCE_MS, ahead).pull
@@ -137,7 +169,7 @@
 
 def test_without_the_store_a_peer_that_is_ahead_is_pulled_at_once():
     here, ahead = Node(1, *SERVERS), Node(2, *SERVERS)
-    ahead.core.directory.advance_revision(41)
+    ahead.core.directory.advance(builders.at(41))
     here.core.store_lost = True
     assert here.receive_beacon(0, ahead).pull
 
@@ -145,8 +177,8 @@
 def test_progress_of_the_own_watch_restarts_the_wait():
     here, ahead = Node(1, *SERVERS), Node(2, *SERVERS)
     for step in range(10):
-        ahead.core.directory.advance_revision(41 + step)
-        here.core.directory.advance_revision(40 + step)
+        ahead.core.directory.advance(builders.at(41 + step))
+        here.core.directory.advance(builders.at(40 + step))
         assert not here.receive_beacon(step * 500, ahead).pull
 
 
--- a/tests/flow/test_settings.py
+++ b/tests/flow/test_settings.py
@@ -24,6 +24,7 @@
             change_ms=change_ms,
             contact_ms=contact_ms,
             longest_flow_ms=60_000,
+            report_interval_ms=1200,
             metrics_port=1,
         )
     )
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -143,7 +143,10 @@
                 write_many(store, 20)
                 store.put("servers/a1", server_value())
                 await until(
-                    lambda: process.core.directory.revision == store.revision
+                    lambda: (
+                        process.core.directory.position.revision
+                        == store.revision
+                    )
                 )
                 async with outage(store):
                     store.restore(older)
@@ -162,7 +165,10 @@
                 write_many(store, 20)
                 store.put("servers/a1", server_value())
                 await until(
-                    lambda: process.core.directory.revision == store.revision
+                    lambda: (
+                        process.core.directory.position.revision
+                        == store.revision
+                    )
                 )
                 async with outage(store):
                     store.restore(older)
@@ -186,7 +192,10 @@
             async with running_process(port) as process:
                 write_many(store, 20)
                 await until(
-                    lambda: process.core.directory.revision == store.revision
+                    lambda: (
+                        process.core.directory.position.revision
+                        == store.revision
+                    )
                 )
                 async with outage(store):
                     store.restore(older)
@@ -205,7 +214,10 @@
             async with running_process(port) as process:
                 write_many(store, 3)
                 await until(
-                    lambda: process.core.directory.revision == store.revision
+                    lambda: (
+                        process.core.directory.position.revision
+                        == store.revision
+                    )
                 )
                 async with outage(store):
                     store.restore(older)
@@ -229,7 +241,10 @@
             async with running_process(port, 1) as cut_off:
                 write_many(store, 20)
                 await until(
-                    lambda: cut_off.core.directory.revision == store.revision
+                    lambda: (
+                        cut_off.core.directory.position.revision
+                        == store.revision
+                    )
                 )
                 await cut_off.follower.stop()
                 store.restore(older)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -193,3 +193,35 @@
                 )
 
     asyncio.run(run())
+
+
+def test_a_restore_between_two_pages_is_no_result():
+    """Half of the entries would be those of the lost history."""
+
+    async def run():
+        async with running_store(page=2) as (fake, store):
+            for number in range(5):
+                fake.put(f"servers/{number}", b"x")
+            older = fake.take_copy()
+            fake.after_page = lambda: fake.restore(older)
+            with pytest.raises(errors.StoreError):
+                await store.range("servers/")
+
+    asyncio.run(run())
+
+
+def test_results_tell_the_epoch_of_the_store():
+    async def run():
+        async with running_store(wait_ms=50) as (fake, store):
+            fake.put("a", b"1")
+            fake.restore(fake.take_copy())
+            assert (await store.get("a")).epoch == 2
+            assert (await store.get("b")).epoch == 2
+            assert (await store.range("")).epoch == 2
+            async for batch in store.watch(
+                "", start_revision=3, prefix=True, epoch=2
+            ):
+                assert batch.epoch == 2
+                break
+
+    asyncio.run(run())
--- a/tests/platform/test_store_follower.py
+++ b/tests/platform/test_store_follower.py
@@ -11,6 +11,7 @@
 from cyclamenridge.ports import store as store_port
 import cyclamenridge.store_follower as store_follower
 from tests.flow import builders
+from tests.standins import waiting
 
 CONFIG = {
     "version": 4,
@@ -52,7 +53,7 @@
             raise result
         return result
 
-    async def watch(self, key, *, start_revision, prefix=False):
+    async def watch(self, key, *, start_revision, prefix=False, epoch=0):
         while True:
             item = await self.batches.get()
             if isinstance(item, Exception):
@@ -126,7 +127,7 @@
             store.batches.put_nowait(store_port.WatchBatch(7, (drained,)))
             await asyncio.sleep(0.05)
             assert updates == [0]
-            assert core.directory.revision == 7
+            assert core.directory.position.revision == 7
 
     asyncio.run(run())
 
@@ -169,6 +170,61 @@
                 store.batches.put_nowait(errors.StoreUnavailableError("cut"))
             await asyncio.sleep(1.5)
             assert store.batches.empty()
-            assert core.directory.revision == 5
+            assert core.directory.position.revision == 5
+
+    asyncio.run(run())
+
+
+def test_an_answer_of_the_lost_history_is_not_applied():
+    async def run():
+        newer = store_port.RangeResult(9, state_at(9).entries, epoch=2)
+        older = store_port.RangeResult(50, (), epoch=1)
+        store = ScriptedStore(newer, older, newer)
+        async with running_follower(store) as (core, _):
+            store.batches.put_nowait(store_port.WatchLostError("compacted"))
+            await asyncio.sleep(0.05)
+            assert core.directory.position == builders.at(9, 2)
+            await waiting.until(lambda: len(store.read_times) == 3)
+            assert core.directory.position == builders.at(9, 2)
+            assert len(core.directory.ready_servers("counter")) == 1
+
+    asyncio.run(run())
+
+
+def test_changes_of_the_lost_history_are_not_applied():
+    """A peer may tell of a restore before the own watch ends."""
+
+    async def run():
+        store = ScriptedStore(
+            store_port.RangeResult(5, state_at(5).entries, epoch=1)
+        )
+        async with running_follower(store) as (core, _):
+            await asyncio.sleep(0.05)
+            core.directory.advance(builders.at(3, 2))
+            lost = store_port.Change("servers/i-9", server_value(), 6)
+            store.batches.put_nowait(store_port.WatchBatch(6, (lost,), 1))
+            await asyncio.sleep(0.05)
+            assert core.directory.get("i-9") is None
+            assert core.directory.position == builders.at(3, 2)
+
+    asyncio.run(run())
+
+
+def test_an_entry_of_the_restored_store_that_cannot_be_read_names_no_server():
+    async def run():
+        store = ScriptedStore(
+            store_port.RangeResult(5, state_at(5).entries, epoch=1),
+            store_port.RangeResult(
+                4, (store_port.KeyValue("servers/i-1", b"\xff", 4),), epoch=2
+            ),
+        )
+        async with running_follower(store) as (core, _):
+            await asyncio.sleep(0.05)
+            assert core.directory.ready_servers("counter")
+            store.batches.put_nowait(store_port.WatchLostError("restored"))
+            await waiting.until(
+                lambda: not core.directory.ready_servers("counter"),
+                timeout_s=1,
+            )
 
     asyncio.run(run())
