Read the store after a peer told of a restore

It lists a server that the peer keeps until it may have registered; when the peer drops it, no event tells others. Ruled out: the peer itself, which dropped the server in time. The watch went on from the peer's position without an own read.

Change: the store is read in full once for each epoch, whoever told of it first.

--- a/src/cyclamenridge/store_follower.py
+++ b/src/cyclamenridge/store_follower.py
@@ -49,6 +49,8 @@
         self._task: asyncio.Task[None] | None = None
         # Whether the store answered since the last failure.
         self._has_answer = False
+        # Epoch of the last complete read. A peer may tell of a later one.
+        self._read_epoch = 0
 
     async def start(self) -> None:
         """Start the task that reads and watches the store."""
@@ -69,7 +71,7 @@
         needs_read = True
         while True:
             try:
-                if needs_read:
+                if needs_read or self._knows_later_epoch():
                     await self._read_all(stale=stale)
                     needs_read = False
                 await self._watch()
@@ -91,6 +93,13 @@
             )
             backoff_ms = min(backoff_ms * 2, self._max_backoff_ms())
 
+    def _knows_later_epoch(self) -> bool:
+        """Return whether a peer told of an epoch that was not read here.
+
+        The peer may have listed servers that it takes for gone since then.
+        """
+        return self._core.directory.position.epoch > self._read_epoch
+
     def _max_backoff_ms(self) -> int:
         if self._core.can_place_flows:
             return _MAX_BACKOFF_MS
@@ -106,6 +115,7 @@
                 f"{known.epoch}"
             )
         self._note_store_answer()
+        self._read_epoch = position.epoch
         server_entries = []
         refused = []
         for entry in result.entries:
@@ -155,7 +165,7 @@
         async for batch in batches:
             self._note_store_answer()
             now_ms = self._clock.now_ms()
-            if start.epoch < self._core.directory.position.epoch:
+            if self._knows_later_epoch():
                 raise store_port.WatchLostError(
                     f"a peer knows a later epoch than {start.epoch}"
                 )
--- a/tests/platform/test_store_follower.py
+++ b/tests/platform/test_store_follower.py
@@ -228,3 +228,21 @@
             )
 
     asyncio.run(run())
+
+
+def test_a_process_that_learnt_of_a_restore_from_a_peer_reads_the_store():
+    """A server that the peer took for gone later stayed listed for ever."""
+
+    async def run():
+        store = ScriptedStore(
+            store_port.RangeResult(5, state_at(5).entries, epoch=1),
+            store_port.RangeResult(4, (), epoch=2),
+        )
+        async with running_follower(store) as (core, _):
+            await asyncio.sleep(0.05)
+            store.batches.put_nowait(errors.StoreUnavailableError("cut"))
+            core.directory.replace(0, builders.at(4, 2), [])
+            await waiting.until(lambda: len(store.read_times) == 2)
+            assert core.directory.position == builders.at(4, 2)
+
+    asyncio.run(run())
