Compare the value as well before a document is replaced

Callers saw nothing yet. An operator whose file the store had confirmed could lose it: after a restore, a delayed write of a balancer or of another operator met the revision that it expected, given out again for that file.

Compare-and-swap by revision alone holds within one history of the store only. Ruled out there: watches, which check the store's revision when they are created, and the periodic reads of the watchers, which go by the document's own revision.

Change: writes name the value that they replace, and the store compares both in one transaction. The platform's store cannot compare values; nothing is written there, and a call that asks for it is an error.

Evidence: both new tests failed before, one with the operator against a faulty store, one with the adapter against the restored stand-in. Tests of config, adapters, cli, platform, app, control and standins pass.

--- a/src/cyclamenridge/adapters/etcd.py
+++ b/src/cyclamenridge/adapters/etcd.py
@@ -131,6 +131,7 @@
         value: bytes,
         *,
         mod_revision: int,
+        previous_value: bytes | None = None,
         lease_id: int = 0,
     ) -> store.PutResult:
         """Write a key if it still has ``mod_revision``; 0 means absent."""
@@ -143,17 +144,27 @@
         put = {"key": encoded, "value": messages.encode_base64(value)}
         if lease_id:
             put["lease"] = str(lease_id)
+        compare = [
+            {
+                "key": encoded,
+                "target": "MOD",
+                "result": "EQUAL",
+                "mod_revision": str(mod_revision),
+            }
+        ]
+        if previous_value is not None:
+            compare.append(
+                {
+                    "key": encoded,
+                    "target": "VALUE",
+                    "result": "EQUAL",
+                    "value": messages.encode_base64(previous_value),
+                }
+            )
         data = await self._write(
             "kv/txn",
             {
-                "compare": [
-                    {
-                        "key": encoded,
-                        "target": "MOD",
-                        "result": "EQUAL",
-                        "mod_revision": str(mod_revision),
-                    }
-                ],
+                "compare": compare,
                 "success": [{"request_put": put}],
                 "failure": [{"request_range": {"key": encoded}}],
             },
--- a/src/cyclamenridge/adapters/store_platform.py
+++ b/src/cyclamenridge/adapters/store_platform.py
@@ -106,7 +106,7 @@
         document = None
         if value is not None:
             document = self._format.decode_document(value)
-        self._emit(events.StoreRead(document, mod_revision))
+        self._emit(events.StoreRead(document, mod_revision, value))
 
     async def _read_config(self) -> None:
         try:
@@ -125,14 +125,18 @@
         return result.revision
 
     async def _write_config(self, effect: effects.WriteStore) -> None:
+        value = self._format.encode_document(effect.document)
         try:
             result = await self._store.compare_and_put(
                 self._format.config_key,
-                self._format.encode_document(effect.document),
+                value,
                 mod_revision=effect.mod_revision,
+                previous_value=effect.previous_value,
             )
             if result.written:
-                self._emit(events.StoreRead(effect.document, result.revision))
+                self._emit(
+                    events.StoreRead(effect.document, result.revision, value)
+                )
             elif result.current is not None:
                 self._emit_document(
                     result.current.value, result.current.mod_revision
--- a/src/cyclamenridge/config/operator.py
+++ b/src/cyclamenridge/config/operator.py
@@ -47,10 +47,12 @@
 
     :param document: None if no configuration was applied yet
     :param mod_revision: 0 without a document
+    :param value: the document as it is stored
     """
 
     document: document_lib.Document | None
     mod_revision: int
+    value: bytes | None = None
 
     @property
     def revision(self) -> int:
@@ -124,7 +126,7 @@
         if entry is None:
             return StoredConfig(None, 0)
         document = document_lib.decode(entry.value)
-        return StoredConfig(document, entry.mod_revision)
+        return StoredConfig(document, entry.mod_revision, entry.value)
 
     async def apply(
         self, file: loader.ConfigFile, *, base: int | None = None
@@ -259,6 +261,7 @@
         self._file = file
         self._base = stored
         self._mod_revision = stored.mod_revision
+        self._previous_value = stored.value
         self._document = document
         self._encoded_document = document_lib.encode(document)
         self._result = result
@@ -294,7 +297,10 @@
     async def _write(self) -> Outcome | None:
         try:
             put = await self._operator._store.compare_and_put(
-                KEY, self._encoded_document, mod_revision=self._mod_revision
+                KEY,
+                self._encoded_document,
+                mod_revision=self._mod_revision,
+                previous_value=self._previous_value,
             )
         except errors.StoreOutcomeUnknownError as exc:
             self._has_uncertain_write = True
@@ -343,6 +349,7 @@
         if stored.document != self._base.document:
             return False
         self._mod_revision = stored.mod_revision
+        self._previous_value = stored.value
         return True
 
     async def _wait_before_retry(self) -> None:
--- a/src/cyclamenridge/control/store_schedule.py
+++ b/src/cyclamenridge/control/store_schedule.py
@@ -175,7 +175,9 @@
             return []
         self._older_read = None
         self._counters["store_writes"] += 1
-        return [effects.WriteStore(document, answer.mod_revision)]
+        return [
+            effects.WriteStore(document, answer.mod_revision, answer.value)
+        ]
 
     def request_extra_read(self, now_ms: int) -> None:
         """Schedule one read, because a transfer from peers is slow."""
--- a/src/cyclamenridge/node/effects.py
+++ b/src/cyclamenridge/node/effects.py
@@ -77,10 +77,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteStore:
-    """Write a document back if the key still has ``mod_revision``."""
+    """Write a document back if the key is as it was read.
+
+    :param mod_revision: revision that the key has to have, 0 for absent
+    :param previous_value: value that the key has to have, None for any
+    """
 
     document: document_lib.Document
     mod_revision: int
+    previous_value: bytes | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cyclamenridge/node/events.py
+++ b/src/cyclamenridge/node/events.py
@@ -96,10 +96,12 @@
     """The store returned the configuration document, by read or watch.
 
     :param document: None when the key is absent
+    :param value: the document as it is stored
     """
 
     document: document_lib.Document | None
     mod_revision: int
+    value: bytes | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cyclamenridge/platform/store.py
+++ b/src/cyclamenridge/platform/store.py
@@ -147,9 +147,16 @@
         value: bytes,
         *,
         mod_revision: int,
+        previous_value: bytes | None = None,
         lease_id: int = 0,
     ) -> store.PutResult:
-        """Write a key if it still has ``mod_revision``; 0 means absent."""
+        """Write a key if it still has ``mod_revision``; 0 means absent.
+
+        :raises StoreError: for a ``previous_value``, because this store
+            compares revisions only
+        """
+        if previous_value is not None:
+            raise errors.StoreError("the store cannot compare values")
         body = {
             "expected_rev": [{"key": key, "revision": mod_revision}],
             "puts": [
--- a/src/cyclamenridge/ports/store.py
+++ b/src/cyclamenridge/ports/store.py
@@ -141,9 +141,14 @@
         value: bytes,
         *,
         mod_revision: int,
+        previous_value: bytes | None = None,
         lease_id: int = 0,
     ) -> PutResult:
-        """Write a key if it still has ``mod_revision``; 0 means absent."""
+        """Write a key if it still has ``mod_revision``; 0 means absent.
+
+        :param previous_value: value that the key has to have as well, since
+            a restored store gives out revisions again; None for any
+        """
 
     @abc.abstractmethod
     def watch(
--- a/tests/adapters/test_store_platform.py
+++ b/tests/adapters/test_store_platform.py
@@ -154,3 +154,28 @@
             assert counters["store_failures"] == 1
 
     asyncio.run(run())
+
+
+def test_a_write_back_replaces_nothing_that_got_its_revision_again():
+    """A confirmed file was overwritten after the store was restored."""
+
+    async def run():
+        async with running_platform() as (stand_in, adapter, emitted, _):
+            stand_in.take_snapshot()
+            stand_in.put(operator.KEY, document_lib.encode(make_document(1)))
+            adapter.read()
+            await waiting.until(lambda: revisions(emitted) == [1])
+            mod_revision = emitted[0].mod_revision
+            stand_in.restore_snapshot()
+            confirmed = document_lib.encode(make_document(2))
+            assert stand_in.put(operator.KEY, confirmed) == mod_revision
+            adapter.write(
+                effects.WriteStore(
+                    make_document(3), mod_revision, emitted[0].value
+                )
+            )
+            await waiting.until(lambda: revisions(emitted) == [1, 2])
+            stored = stand_in.state.entries[operator.KEY.encode()]
+            assert stored.value == confirmed
+
+    asyncio.run(run())
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -45,10 +45,17 @@
     return loader.ConfigFile(loader.parse(BASE), text, None)
 
 
+OTHER_DOCUMENT = document_lib.encode(
+    document_lib.successor(None, body=BASE + "# lost\n", apply_id="other")
+)
+
+
 class FaultyStore:
     """A store whose calls have the given faults, one each; then they succeed.
 
-    Besides ``FAULTS`` it knows "rolled_back", which drops the newest write.
+    Besides ``FAULTS`` it knows "rolled_back", which drops the newest write,
+    and "replaced": the store is restored from an older copy, and another
+    document gets the mod revision of the newest one.
     """
 
     def __init__(self, faults=()):
@@ -57,17 +64,19 @@
         self.late_writes = []
         self.uncertain_write_count = 0
 
-    def put_if_unchanged(self, data, mod_revision):
-        current_mod_revision = self.log[-1][0] if self.log else 0
+    def put_if_unchanged(self, data, mod_revision, previous_value=None):
+        current_mod_revision, value = self.log[-1] if self.log else (0, None)
         if current_mod_revision != mod_revision:
             return False
+        if previous_value not in (None, value):
+            return False
         self.log.append((current_mod_revision + 1 + len(self.log) % 2, data))
         return True
 
     def apply_late_writes(self):
         late_writes, self.late_writes = self.late_writes, []
-        for data, mod_revision in late_writes:
-            self.put_if_unchanged(data, mod_revision)
+        for write in late_writes:
+            self.put_if_unchanged(*write)
 
     async def apply_next_fault(self):
         await asyncio.sleep(0)
@@ -87,6 +96,9 @@
             self.put_if_unchanged(self.log[-1][1], self.current_mod_revision())
         if fault == "rolled_back":
             self.log.pop()
+        if fault == "replaced":
+            mod_revision, _ = self.log.pop()
+            self.log.append((mod_revision, OTHER_DOCUMENT))
         if fault == "unavailable":
             raise errors.StoreUnavailableError("unavailable")
         if fault == "refused":
@@ -107,16 +119,18 @@
             entry = store_lib.KeyValue(key, found[-1][1], found[-1][0])
         return store_lib.GetResult(self.current_mod_revision() or 1, entry)
 
-    async def compare_and_put(self, key, value, *, mod_revision):
+    async def compare_and_put(
+        self, key, value, *, mod_revision, previous_value=None
+    ):
         fault = await self.apply_next_fault()
         if fault in ("reply_lost", "write_dropped", "write_late"):
             self.uncertain_write_count += 1
             if fault == "reply_lost":
-                self.put_if_unchanged(value, mod_revision)
+                self.put_if_unchanged(value, mod_revision, previous_value)
             elif fault == "write_late":
-                self.late_writes.append((value, mod_revision))
+                self.late_writes.append((value, mod_revision, previous_value))
             raise errors.StoreOutcomeUnknownError(fault)
-        written = self.put_if_unchanged(value, mod_revision)
+        written = self.put_if_unchanged(value, mod_revision, previous_value)
         return store_lib.PutResult(written, self.current_mod_revision() or 1)
 
 
@@ -330,3 +344,13 @@
     with pytest.raises(document_lib.DocumentError):
         asyncio.run(make_operator(store).apply(config_file(2)))
     assert len(store.log) == 1
+
+
+def test_a_late_write_replaces_nothing_that_got_its_revision_again():
+    """A confirmed file was overwritten after the store was restored."""
+    store = FaultyStore()
+    apply_all(store, config_file(1))
+    store.faults.extend(["ok", "write_late", "replaced"])
+    apply_all(store, config_file(2), wait_ms=500)
+    store.apply_late_writes()
+    assert store.log[-1][1] == OTHER_DOCUMENT
--- a/tests/control/test_replication.py
+++ b/tests/control/test_replication.py
@@ -298,6 +298,19 @@
     ) == [effects.WriteStore(newest, 6)]
 
 
+def test_a_write_back_names_the_value_that_it_replaces():
+    """Guards against a write that meets the revision of a restored store."""
+    watcher = store_schedule.StoreWatcher(
+        "bal-1", random.Random(1), make_counters()
+    )
+    watcher.elect("oslo-a", ["bal-1"])
+    watcher.tick(0, document(3))
+    read = events.StoreRead(document(2), 6, b"stored")
+    assert not watcher.handle_read(20, read, document(3))
+    (write,) = watcher.handle_read(30, read, document(3))
+    assert write.previous_value == b"stored"
+
+
 def test_damaged_document_is_not_adopted():
     """Guards against a document whose body does not match its digest."""
     fleet = start_fleet(3)
--- a/tests/flow/store_history.py
+++ b/tests/flow/store_history.py
@@ -161,7 +161,7 @@
     async def get(self, key, *, revision=0):
         raise NotImplementedError
 
-    async def compare_and_put(self, key, value, *, mod_revision, lease_id=0):
+    async def compare_and_put(self, key, value, **condition):
         raise NotImplementedError
 
     async def grant_lease(self, ttl_s):
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -355,8 +355,7 @@
         succeeded = True
         for compare in body.get("compare", []):
             entry = self.state.entries.get(base64.b64decode(compare["key"]))
-            revision = entry.mod_revision if entry else 0
-            succeeded = succeeded and revision == int(compare["mod_revision"])
+            succeeded = succeeded and _matches(entry, compare)
         responses = []
         for request in body.get("success" if succeeded else "failure", []):
             if "request_range" in request:
@@ -511,6 +510,14 @@
     return start <= key < end if end else key == start
 
 
+def _matches(entry: Entry | None, compare: dict) -> bool:
+    if compare["target"] == "VALUE":
+        value = base64.b64decode(compare["value"])
+        return entry is not None and entry.value == value
+    revision = entry.mod_revision if entry else 0
+    return revision == int(compare["mod_revision"])
+
+
 def _encode_kv(key: bytes, entry: Entry) -> dict[str, str]:
     kv = {
         "key": base64.b64encode(key).decode(),
