List a confirmed file that a restored store loses as known red

Cause: the own protocol orders documents by a number that the store gives out again after a restore. A file that is confirmed on top of the older copy has a revision that balancers know: they keep theirs, or write it back over the file. Until now only the first was known (docs/configuration.md).

Ruled out: the compare-and-swap, which is right by the value that it meets.

--- a/tests/control/test_replication.py
+++ b/tests/control/test_replication.py
@@ -343,6 +343,26 @@
     wait_until_in_force(fleet, 3)
 
 
+@pytest.mark.parametrize("lost", [1, 2])
+def test_a_file_that_is_applied_to_a_restored_store_is_in_force(lost):
+    """Guards against a confirmed file that balancers overwrite or ignore,
+    because they hold later revisions which the store has lost.
+    """
+    fleet = start_fleet(6)
+    for revision in range(2, 2 + lost):
+        fleet.apply(document(revision))
+        wait_until_in_force(fleet, revision)
+    fleet.store.document = document(1)
+    fleet.break_watches()
+    digest = document(2, "another").digest
+    fleet.apply(
+        control_fleet.Document(2, digest, "apply-another", (), "another")
+    )
+    fleet.run(IN_FORCE_MS)
+    assert {node.plane.document.body for node in fleet.live()} == {"another"}
+    assert fleet.store.document.body == "another"
+
+
 def test_delta_for_another_base_falls_back_to_the_whole_document():
     """Guards against a node that never gets a revision because it has a
     different document with the revision of the base.
