Let only an answer from after a pause confirm what a restored store says

Callers saw nothing yet.

Cause: the end of a hold was compared with the time of processing, not with that of the answer. Ruled out: packets, which wait for changes after a pause already. Also, a store that stops sending its epoch would never have been read again.

Change: a hold ends with an answer that was asked for after the last pause; a missing epoch counts as the known one. Both tests failed before. The model records activity every 100 ms as the application does.

--- a/src/cyclamenridge/flow/reachability.py
+++ b/src/cyclamenridge/flow/reachability.py
@@ -75,6 +75,10 @@
         """Return whether the process just woke up from a pause."""
         return now_ms < self._settled_ms
 
+    def has_paused_since(self, time_ms: int) -> bool:
+        """Return whether the process paused, or started, after a time."""
+        return self._resumed_ms > time_ms
+
     def may_read_late(self, now_ms: int) -> bool:
         """Return whether a packet may have waited in the socket for long."""
         return now_ms < self._delayed_until_ms
--- a/src/cyclamenridge/store_follower.py
+++ b/src/cyclamenridge/store_follower.py
@@ -106,9 +106,12 @@
         return _MAX_BACKOFF_WITHOUT_STATE_MS
 
     async def _read_all(self, *, stale: bool) -> None:
+        asked_ms = self._clock.now_ms()
         result = await self._store.range("", stale=stale)
         known = self._core.directory.position
-        position = position_lib.Position(result.epoch, result.revision)
+        position = position_lib.Position(
+            result.epoch or known.epoch, result.revision
+        )
         if position.epoch < known.epoch:
             raise store_port.WatchLostError(
                 f"the store answered from epoch {position.epoch} after "
@@ -137,7 +140,7 @@
         )
         for name in refused:
             self._core.directory.remove(now_ms, name, position)
-        self._settle(now_ms)
+        self._settle(now_ms, asked_ms)
         self._core.counters["store_reads"] += 1
         self._core.counters["entries_held"] += len(listing.held)
         self._log.process_event(
@@ -162,6 +165,7 @@
             epoch=start.epoch,
         )
         is_confirmed = False
+        asked_ms = self._clock.now_ms()
         async for batch in batches:
             self._note_store_answer()
             now_ms = self._clock.now_ms()
@@ -174,7 +178,7 @@
             self._core.directory.advance(
                 position_lib.Position(start.epoch, batch.revision)
             )
-            self._settle(now_ms)
+            self._settle(now_ms, asked_ms)
             if batch.changes or not is_confirmed:
                 # A stale read may list servers that have left. The first
                 # batch brings what has changed since.
@@ -182,8 +186,17 @@
             is_confirmed = True
             if batch.changes:
                 await asyncio.sleep(self._coalesce_ms / 1000)
+            asked_ms = self._clock.now_ms()
+
+    def _settle(self, now_ms: int, asked_ms: int) -> None:
+        """Apply what was held for long enough.
 
-    def _settle(self, now_ms: int) -> None:
+        :param asked_ms: when the store was asked; after a pause its answer
+            may be as old as that
+        """
+        self._core.reachability.record_activity(now_ms)
+        if self._core.reachability.has_paused_since(asked_ms):
+            return
         names = self._core.directory.settle(now_ms)
         if names:
             self._log.process_event(
--- a/tests/flow/store_history.py
+++ b/tests/flow/store_history.py
@@ -282,6 +282,8 @@
     def run(self, duration_ms):
         for _ in range(duration_ms // TICK_MS):
             self.loop.run_until_complete(asyncio.sleep(TICK_MS / 1000))
+            for process in self.processes.values():
+                process.core.reachability.record_activity(self.now_ms)
             self._write_state()
             self._exchange_beacons()
             self._check()
--- a/tests/platform/test_store_follower.py
+++ b/tests/platform/test_store_follower.py
@@ -90,7 +90,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running_follower(store):
+async def running_follower(store, clock=None):
     """Yield a core and the number of servers at each update."""
     core = builders.make_core(config=None)
     updates = []
@@ -98,7 +98,7 @@
         store,
         records.PlatformRecordDecoder(),
         core,
-        clock=clock_lib.MonotonicClock(),
+        clock=clock or clock_lib.MonotonicClock(),
         rng=random.Random(1),
         log=builders.ListLog(),
         coalesce_ms=1,
@@ -246,3 +246,53 @@
             assert core.directory.position == builders.at(4, 2)
 
     asyncio.run(run())
+
+
+def state_in_epoch(epoch, state):
+    entry = store_port.KeyValue("servers/i-1", server_value(state), 3)
+    return store_port.RangeResult(5, (entry,), epoch)
+
+
+def test_an_answer_from_before_a_pause_confirms_nothing():
+    """A process that had been paused acted on a time that had run out."""
+
+    async def run():
+        clock = clock_lib.ManualClock(1000)
+        store = ScriptedStore(
+            state_in_epoch(1, "draining"), state_in_epoch(2, "ready")
+        )
+        async with running_follower(store, clock) as (core, _):
+            await asyncio.sleep(0.05)
+            store.batches.put_nowait(store_port.WatchLostError("restored"))
+            await waiting.until(lambda: len(store.read_times) == 2)
+            await asyncio.sleep(0.05)
+            core.reachability.record_activity(clock.now_ms())
+            clock.advance(60_000)
+            store.batches.put_nowait(store_port.WatchBatch(5, (), 2))
+            await asyncio.sleep(0.05)
+            assert not core.directory.ready_servers("counter")
+            core.reachability.record_activity(clock.advance(100))
+            store.batches.put_nowait(store_port.WatchBatch(5, (), 2))
+            await asyncio.sleep(0.05)
+            assert core.directory.ready_servers("counter")
+
+    asyncio.run(run())
+
+
+def test_a_store_that_stops_telling_its_epoch_is_still_followed():
+    async def run():
+        store = ScriptedStore(
+            state_in_epoch(1, "ready"),
+            store_port.RangeResult(
+                7,
+                (store_port.KeyValue("servers/i-1", server_value(), 7),),
+            ),
+        )
+        async with running_follower(store) as (core, _):
+            await asyncio.sleep(0.05)
+            store.batches.put_nowait(store_port.WatchLostError("compacted"))
+            await waiting.until(
+                lambda: core.directory.position == builders.at(7, 1)
+            )
+
+    asyncio.run(run())
