Read the store as it is now after a peer told of a restore

Cause: only a lost watch ended the use of stale reads. The read that follows a peer's word of a restore was stale, while the watch goes on from the peer's position: a server whose removal lies between the two would have stayed listed. Change: only the first read of a process may be stale. The test fails without it.

The soak restores the store from random copies; operator and servers write again what is lost, and entries of servers that are gone lapse.

--- a/src/cyclamenridge/store_follower.py
+++ b/src/cyclamenridge/store_follower.py
@@ -73,7 +73,7 @@
             try:
                 if needs_read or self._knows_later_epoch():
                     await self._read_all(stale=stale)
-                    needs_read = False
+                    needs_read = stale = False
                 await self._watch()
             except store_port.WatchLostError as exc:
                 self._note_store_failure("store_history_lost", exc)
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -27,6 +27,10 @@
 # Changes need not take effect within this time after a fault of a balancer's
 # connection to the store.
 CONTACT_GRACE_S = 4.0
+# Operator and servers write again what a restored store lacks within this
+# time; the entries of servers that are gone lapse later.
+WRITE_AGAIN_S = 1.2
+LAPSE_S = 3.6
 CLIENT_COUNT = 6
 # Seeds of runs that found a fault, with its cause.
 REGRESSION_SEEDS: dict[int, str] = {
@@ -65,6 +69,8 @@
         self.drain_started_s = {}
         # When a proxy last disturbed a connection to the store.
         self.store_fault_s = float("-inf")
+        # Copies that the store may be restored from, oldest first.
+        self.copies = []
 
     async def run(self):
         clients = [
@@ -74,6 +80,7 @@
         end_s = loop.time() + FAULT_PHASE_S
         while loop.time() < end_s:
             await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+            self.copies.append(self.cluster.store.take_copy())
             await self._inject_fault()
         self._clear_faults()
         await self._check_recovery()
@@ -172,6 +179,7 @@
             self._send_sighup,
             self._send_sigterm,
             self._disturb_store,
+            self._restore_store,
             self._reset_connections,
             self._silence_connections,
             self._cut_one_way,
@@ -223,6 +231,19 @@
         if self.rng.random() < 0.3:
             store.compact()
 
+    def _restore_store(self):
+        store = self.cluster.store
+        store.restore(self.rng.choice(self.copies))
+        self._note_store_fault()
+        loop = asyncio.get_running_loop()
+        for key in sorted(store.items.keys() | store.written.keys()):
+            is_gone = key not in store.written
+            loop.call_later(
+                LAPSE_S if is_gone else self.rng.uniform(0, WRITE_AGAIN_S),
+                store.write_again,
+                key,
+            )
+
     def _reset_connections(self):
         self._note_store_fault()
         self._pick_balancer().proxy.reset()
--- a/tests/platform/test_store_follower.py
+++ b/tests/platform/test_store_follower.py
@@ -44,10 +44,12 @@
     def __init__(self, *reads):
         self.reads = list(reads)
         self.read_times = []
+        self.stale_reads = 0
         self.batches = asyncio.Queue()
 
     async def range(self, prefix, *, stale=False):
         self.read_times.append(time.monotonic())
+        self.stale_reads += stale
         result = self.reads.pop(0) if len(self.reads) > 1 else self.reads[0]
         if isinstance(result, Exception):
             raise result
@@ -244,6 +246,8 @@
             core.directory.replace(0, builders.at(4, 2), [])
             await waiting.until(lambda: len(store.read_times) == 2)
             assert core.directory.position == builders.at(4, 2)
+            # A stale one may list servers whose removal is not told again.
+            assert store.stale_reads == 1
 
     asyncio.run(run())
 
--- a/tests/standins/metadata_store.py
+++ b/tests/standins/metadata_store.py
@@ -27,6 +27,8 @@
     :ivar history: all events, oldest first
     :ivar compacted: revision below which watches are refused with 410
     :ivar era: rises with each restore of a copy
+    :ivar written: last value of each key that was not removed, whatever the
+        store has lost
     :ivar calls: method and path of each request
     """
 
@@ -36,6 +38,7 @@
         self.history = []
         self.compacted = 0
         self.era = 1
+        self.written = {}
         self.leases = {}
         self.silent = False
         self.busy = 0
@@ -72,6 +75,7 @@
         await self._runner.cleanup()
 
     def put(self, key, value, lease=0):
+        self.written[key] = value
         self.revision += 1
         created = self.items.get(key, {}).get("created", self.revision)
         item = {
@@ -86,6 +90,7 @@
         return self.revision
 
     def remove(self, key):
+        self.written.pop(key, None)
         if self.items.pop(key, None) is not None:
             self.revision += 1
             self._append_event(
@@ -108,6 +113,16 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def write_again(self, key):
+        """Write, or remove, a key as it was before a restore."""
+        value = self.written.get(key)
+        if value is None:
+            self.remove(key)
+        elif key not in self.items or (
+            base64.b64decode(self.items[key]["value"]) != value
+        ):
+            self.put(key, value)
+
     def _append_event(self, event):
         self.history.append(event)
         self._changed.set()
