--- a/tests/flow/store_history.py
+++ b/tests/flow/store_history.py
@@ -17,6 +17,7 @@
 from cyclamenridge.ports import store as store_port
 import cyclamenridge.store_follower as store_follower
 from tests.flow import builders
+from tests.standins import read_only_store
 
 TICK_MS = 100
 REPORT_INTERVAL_MS = 1200
@@ -101,7 +102,7 @@
         self.epoch += 1
 
 
-class Client(store_port.KeyValueStore):
+class Client(read_only_store.ReadOnlyStore):
     """Connection of one process to the store.
 
     :ivar connected: whether the store answers this process
@@ -155,24 +156,6 @@
             wait_ms = WATCH_WAIT_MS
             yield store_port.WatchBatch(after, changes, store.epoch)
 
-    async def close(self):
-        pass
-
-    async def get(self, key, *, revision=0):
-        raise NotImplementedError
-
-    async def compare_and_put(self, key, value, **condition):
-        raise NotImplementedError
-
-    async def grant_lease(self, ttl_s):
-        raise NotImplementedError
-
-    async def keep_lease_alive(self, lease_id):
-        raise NotImplementedError
-
-    async def revoke_lease(self, lease_id):
-        raise NotImplementedError
-
 
 class Server:
     """A backend server that reports to the store.
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -133,6 +133,15 @@
         store.put("servers/a9", server_value())
 
 
+async def write_and_lose(store, process, *, count):
+    """Write what a process learns and a restore of an older copy loses."""
+    write_many(store, count)
+    store.put("servers/a1", server_value())
+    await until(
+        lambda: process.core.directory.position.revision == store.revision
+    )
+
+
 def test_a_drain_with_a_revision_that_was_given_out_before_is_in_force():
     """New flows went on to servers that had said that they leave."""
 
@@ -140,14 +149,7 @@
         async with running_store() as (store, port):
             older = store.take_copy()
             async with running_process(port) as process:
-                write_many(store, 20)
-                store.put("servers/a1", server_value())
-                await until(
-                    lambda: (
-                        process.core.directory.position.revision
-                        == store.revision
-                    )
-                )
+                await write_and_lose(store, process, count=20)
                 async with outage(store):
                     store.restore(older)
                 store.put("servers/a1", server_value(state="draining"))
@@ -162,14 +164,7 @@
         async with running_store() as (store, port):
             older = store.take_copy()
             async with running_process(port) as process:
-                write_many(store, 20)
-                store.put("servers/a1", server_value())
-                await until(
-                    lambda: (
-                        process.core.directory.position.revision
-                        == store.revision
-                    )
-                )
+                await write_and_lose(store, process, count=20)
                 async with outage(store):
                     store.restore(older)
                 store.remove("servers/a1")
@@ -190,13 +185,7 @@
         async with running_store() as (store, port):
             older = store.take_copy()
             async with running_process(port) as process:
-                write_many(store, 20)
-                await until(
-                    lambda: (
-                        process.core.directory.position.revision
-                        == store.revision
-                    )
-                )
+                await write_and_lose(store, process, count=20)
                 async with outage(store):
                     store.restore(older)
                 await asyncio.sleep(IN_FORCE_S)
@@ -212,13 +201,7 @@
         async with running_store() as (store, port):
             older = store.take_copy()
             async with running_process(port) as process:
-                write_many(store, 3)
-                await until(
-                    lambda: (
-                        process.core.directory.position.revision
-                        == store.revision
-                    )
-                )
+                await write_and_lose(store, process, count=3)
                 async with outage(store):
                     store.restore(older)
                     store.put("servers/a3", server_value())
@@ -239,13 +222,7 @@
         async with running_store() as (store, port):
             older = store.take_copy()
             async with running_process(port, 1) as cut_off:
-                write_many(store, 20)
-                await until(
-                    lambda: (
-                        cut_off.core.directory.position.revision
-                        == store.revision
-                    )
-                )
+                await write_and_lose(store, cut_off, count=20)
                 await cut_off.follower.stop()
                 store.restore(older)
                 store.put("servers/a1", server_value(state="draining"))
--- a/tests/platform/test_store_follower.py
+++ b/tests/platform/test_store_follower.py
@@ -11,6 +11,7 @@
 from cyclamenridge.ports import store as store_port
 import cyclamenridge.store_follower as store_follower
 from tests.flow import builders
+from tests.standins import read_only_store
 from tests.standins import waiting
 
 CONFIG = {
@@ -34,7 +35,7 @@
     ).encode()
 
 
-class ScriptedStore(store_port.KeyValueStore):
+class ScriptedStore(read_only_store.ReadOnlyStore):
     """Store whose reads and watch batches are given in advance.
 
     :ivar reads: results of ``range``, or the error to raise
@@ -62,24 +63,6 @@
                 raise item
             yield item
 
-    async def close(self):
-        pass
-
-    async def get(self, key, *, revision=0):
-        raise NotImplementedError
-
-    async def compare_and_put(self, key, value, **condition):
-        raise NotImplementedError
-
-    async def grant_lease(self, ttl_s):
-        raise NotImplementedError
-
-    async def keep_lease_alive(self, lease_id):
-        raise NotImplementedError
-
-    async def revoke_lease(self, lease_id):
-        raise NotImplementedError
-
 
 def state_at(revision):
     return store_port.RangeResult(
