Pick the ports of a test deployment at the same time

Ruled out: the load and the program, which stopped with the right error.

Change: the ports are bound together.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -23,10 +23,18 @@
 DUMP_PORT = 9000
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def free_ports(count):
+    """Return different free ports.
+
+    They are bound at the same time, so that none is returned twice.
+    """
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.bind(("127.0.0.1", 0))
+            ports.append(sock.getsockname()[1])
+        return ports
 
 
 class BalancerProcess:
@@ -163,9 +171,7 @@
         self.version = 0
         self.store_port = 0
         self.seed_ip = None
-        self.ready_port = free_port()
-        self.metrics_port = free_port()
-        self.peer_port = free_port()
+        self.ready_port, self.metrics_port, self.peer_port = free_ports(3)
         self._client_ports = itertools.count(20_000)
         self._idents = itertools.count(0x1000)
 
