--- a/tests/flow/load_model.py
+++ b/tests/flow/load_model.py
@@ -26,6 +26,10 @@
 MAX_TRIES = 3
 CLIENTS = 300
 ANSWER_BYTES = 2000
+REFUSAL_BYTES = 146
+PACKET_BYTES = 1200
+# Clients acknowledge every second packet, and a single one after this time.
+DELAYED_ACK_MS = 40
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,6 +39,8 @@
     :param port: port of its route in ``builders.CONFIG``
     :param per_s: requests a second
     :param keeps_flow: whether requests share long flows
+    :param answer_bytes: size of an answer
+    :param bursts: times of bursts, each with the factor on ``per_s``
     """
 
     name: str
@@ -42,6 +48,16 @@
     per_s: float
     work_ms: float
     keeps_flow: bool
+    answer_bytes: int = ANSWER_BYTES
+    bursts: tuple[tuple[int, int, float], ...] = ()
+
+    def rate_at(self, time_ms):
+        """Return the requests a second at a time."""
+        factor = 1.0
+        for start_ms, end_ms, burst_factor in self.bursts:
+            if start_ms <= time_ms < end_ms:
+                factor *= burst_factor
+        return self.per_s * factor
 
 
 @dataclasses.dataclass
@@ -62,16 +78,29 @@
 
 
 class _Server:
-    def __init__(self, model, entry, *, slowdown):
+    """Backend server.
+
+    :ivar refusing: part of the requests that it refuses without being full
+    :ivar refused: requests that it refused
+    """
+
+    def __init__(self, model, entry, *, slowdown, refusing):
         self.model = model
         self.entry = entry
         self.slowdown = slowdown
+        self.refusing = refusing
         self.queue = []
         self.busy = 0
         self.run = 0
+        self.arrivals = 0
+        self.refused = 0
 
     def arrive(self, flow):
-        if self.busy + len(self.queue) >= self.entry.slots + QUEUE_LENGTH:
+        self.arrivals += 1
+        if self.busy + len(self.queue) >= self.entry.slots + QUEUE_LENGTH or (
+            self.refusing and self.model.rng.random() < self.refusing
+        ):
+            self.refused += 1
             self.model.after(
                 SERVER_DELAY_MS + CLIENT_DELAY_MS, flow.on_refusal
             )
@@ -99,6 +128,7 @@
         self.model = model
         self.kind = kind
         self.client = builders.CLIENT + model.rng.randrange(CLIENTS)
+        self.domain = self.client % len(model.domains)
         self.route = builders.CONFIG.routes[builders.HOST, kind.port]
         self.asked_ms = model.now_ms
         self.tries = 0
@@ -137,7 +167,7 @@
 
     def __init__(self, model, request):
         self.model = model
-        self.core = model.rng.choice(model.cores)
+        self.core = model.rng.choice(model.cores_by_domain[request.domain])
         self.client = request.client
         self.flow = builders.Flow(
             self.core,
@@ -215,8 +245,9 @@
     def on_answer(self):
         request, self.request = self.request, None
         self.flow.seq += 200
-        self.flow.ack += ANSWER_BYTES
-        self.send(packet_lib.ACK)
+        self.acknowledge(
+            ANSWER_BYTES if request is None else request.kind.answer_bytes
+        )
         if request is not None and not request.is_done:
             age_ms = self.model.now_ms - request.asked_ms
             is_timely = age_ms <= request.route.aim_ms
@@ -226,12 +257,19 @@
     def on_refusal(self):
         request, self.request = self.request, None
         self.flow.seq += 200
-        self.flow.ack += 100
-        self.send(packet_lib.ACK)
+        self.acknowledge(REFUSAL_BYTES)
         self.release(request)
         if request is not None:
             request.on_refused()
 
+    def acknowledge(self, size):
+        """Acknowledge an answer, late if it is a single packet."""
+        self.flow.ack += size
+        self.model.after(
+            0 if size > PACKET_BYTES else DELAYED_ACK_MS,
+            lambda: self.send(packet_lib.ACK),
+        )
+
     def on_reset(self):
         assert self.server is None, "an open flow was reset"
         if not self.is_dead:
@@ -242,15 +280,33 @@
         if request is not None and request.kind.keeps_flow:
             self.model.idle_flows[request.kind.name, self.client].append(self)
         else:
-            self.send(packet_lib.FIN | packet_lib.ACK)
+            self.model.after(
+                DELAYED_ACK_MS,
+                lambda: self.send(packet_lib.FIN | packet_lib.ACK),
+            )
 
 
 class LoadModel:
-    """Plays load on balancers and servers."""
+    """Plays load on balancers and servers.
+
+    Clients, balancers and servers are spread evenly over failure domains. The
+    first servers are slow, or refuse a part of their requests.
+    """
 
     def __init__(
-        self, kinds, *, servers=7, balancers=5, slow=0, slowdown=1.0, seed=1
+        self,
+        kinds,
+        *,
+        servers=7,
+        balancers=5,
+        domains=("bne",),
+        slow=0,
+        slowdown=1.0,
+        refusing=0,
+        refused_part=0.0,
+        seed=1,
     ):
+        self.domains = domains
         self.rng = random.Random(seed)
         self.now_ms = 0
         self.kinds = kinds
@@ -260,24 +316,38 @@
         self.ports = itertools.count(1)
         self._events = []
         self._numbers = itertools.count()
-        entries = [builders.server_entry(n + 1) for n in range(servers)]
+        entries = [
+            builders.server_entry(
+                n + 1, failure_domain=domains[n % len(domains)]
+            )
+            for n in range(servers)
+        ]
         self.servers = {
             entry.ident: _Server(
                 self,
                 entry,
                 slowdown=slowdown if number < slow else 1.0,
+                refusing=refused_part if number < refusing else 0.0,
             )
             for number, entry in enumerate(entries)
         }
         self.cores = [
-            builders.make_core(*entries, seed=seed * 100 + number)
+            builders.make_core(
+                *entries,
+                seed=seed * 100 + number,
+                failure_domain=domains[number % len(domains)],
+            )
             for number in range(balancers)
         ]
+        self.cores_by_domain = [
+            self.cores[number :: len(domains)]
+            for number in range(len(domains))
+        ]
         self.peers = [
             peers_lib.Peers(
                 core,
                 name=f"b{number}",
-                failure_domain="bne",
+                failure_domain=domains[number % len(domains)],
                 host=f"10.0.0.{number}",
                 seeds=(),
                 lag_tolerance_ms=1000,
@@ -286,10 +356,18 @@
             for number, core in enumerate(self.cores)
         ]
 
+        self._peers_by_host = {
+            f"10.0.0.{number}": peers
+            for number, peers in enumerate(self.peers)
+        }
         # The balancers know each other before the load begins.
         for _ in range(2):
-            for sender in self.peers:
-                self._send_beacon(sender)
+            for host, sender in self._peers_by_host.items():
+                sender.beacon_targets(self.now_ms)
+                data = sender.encode_beacon()
+                for peers in self.peers:
+                    if peers is not sender:
+                        peers.handle_beacon(self.now_ms, host, data)
 
     def after(self, delay_ms, action):
         heapq.heappush(
@@ -302,7 +380,7 @@
         for kind in self.kinds:
             time_ms = 0.0
             while time_ms < duration_ms:
-                time_ms += self.rng.expovariate(kind.per_s / 1000)
+                time_ms += self.rng.expovariate(kind.rate_at(time_ms) / 1000)
                 self.after(
                     round(time_ms),
                     lambda kind=kind: _Request(self, kind).send(),
@@ -310,10 +388,10 @@
         for core in self.cores:
             self._every(TICK_MS, lambda core=core: self._release(core))
             self._every(500, lambda core=core: core.sweep(self.now_ms))
-        for peers in self.peers:
+        for host, peers in self._peers_by_host.items():
             self._every(
                 peers_lib.BEACON_INTERVAL_MS,
-                lambda peers=peers: self._send_beacon(peers),
+                lambda host=host, peers=peers: self._send_beacon(host, peers),
             )
         end_ms = duration_ms + 5000
         while self._events and self._events[0][0] <= end_ms:
@@ -321,6 +399,17 @@
             action()
         return sum(server.run for server in self.servers.values())
 
+    def refused_part(self):
+        """Return the part of the arrivals that servers refused."""
+        servers = self.servers.values()
+        arrivals = sum(server.arrivals for server in servers)
+        return sum(server.refused for server in servers) / max(1, arrivals)
+
+    def imbalance(self):
+        """Return highest over mean of the requests that servers ran."""
+        runs = [server.run for server in self.servers.values()]
+        return max(runs) * len(runs) / max(1, sum(runs))
+
     def _every(self, interval_ms, action):
         def repeat():
             action()
@@ -328,13 +417,16 @@
 
         self.after(self.rng.randrange(interval_ms), repeat)
 
-    def _send_beacon(self, sender):
-        sender.beacon_targets(self.now_ms)
+    def _send_beacon(self, host, sender):
+        targets = sender.beacon_targets(self.now_ms)
         data = sender.encode_beacon()
-        number = self.peers.index(sender)
-        for peers in self.peers:
-            if peers is not sender:
-                peers.handle_beacon(self.now_ms, f"10.0.0.{number}", data)
+        for target in targets:
+            self.after(
+                SERVER_DELAY_MS,
+                lambda target=target: self._peers_by_host[
+                    target
+                ].handle_beacon(self.now_ms, host, data),
+            )
 
     def deliver(self, core, packet):
         self._carry_out(
