Recognize refusals by the size of their answers

Cause: with 33 balancers, servers refused a third of the arrivals in a burst, and each refusal counted as a fast answer, so that the limit of requests for each slot rose to its maximum.

Change: flow/refusals.py tells refusals from answers by the acknowledged bytes; they are counted, kept out of the answer times and noted at the server.

--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -15,6 +15,7 @@
 from cyclamenridge.flow import packet as packet_lib
 from cyclamenridge.flow import placement
 from cyclamenridge.flow import reachability as reachability_lib
+from cyclamenridge.flow import refusals
 from cyclamenridge.flow import routes as routes_lib
 from cyclamenridge.flow import selection
 from cyclamenridge.flow import server_stats as stats_lib
@@ -74,6 +75,7 @@
         self.store_lost = False
         self._log = log
         self._table = flow_table.FlowTable(self.server_stats, self.admission)
+        self._refusals = refusals.RefusalDetector()
         self._evidence = evidence.ServerEvidence(
             self.server_stats, self.reachability, log
         )
@@ -379,20 +381,34 @@
         if rec.acked is None:
             rec.acked = packet.ack
         elif tracking.is_seq_after(packet.ack, rec.acked):
+            acked_bytes = (packet.ack - rec.acked) & 0xFFFFFFFF
             rec.acked = packet.ack
             rec.retransmissions = 0
             self._evidence.record_answer(now_ms, server)
             if rec.pending_server is not None:
-                self.latencies["first_answer"].record(
-                    now_ms - rec.pending_since_ms
-                )
-                self._table.clear_pending(now_ms, rec, answered=True)
+                self._end_request(now_ms, rec, acked_bytes)
         if packet.length:
             self._track_data(now_ms, key, packet, rec, server)
         if packet.flags & FIN:
             self._table.clear_pending(now_ms, rec)
         return rec
 
+    def _end_request(
+        self, now_ms: int, rec: tracking.FlowRecord, acked_bytes: int
+    ) -> None:
+        assert rec.pending_server is not None
+        if rec.route is not None and self._refusals.record(
+            rec.route.name, acked_bytes
+        ):
+            self.counters["refusals"] += 1
+            self.server_stats.for_server(
+                rec.pending_server.entry.name
+            ).last_refusal_ms = now_ms
+            self._table.clear_pending(now_ms, rec, refused=True)
+            return
+        self.latencies["first_answer"].record(now_ms - rec.pending_since_ms)
+        self._table.clear_pending(now_ms, rec, answered=True)
+
     def _change_server(
         self, rec: tracking.FlowRecord, server: directory_lib.Server
     ) -> None:
--- a/src/cyclamenridge/flow/flow_table.py
+++ b/src/cyclamenridge/flow/flow_table.py
@@ -44,15 +44,24 @@
         )
 
     def clear_pending(
-        self, now_ms: int, rec: tracking.FlowRecord, *, answered: bool = False
+        self,
+        now_ms: int,
+        rec: tracking.FlowRecord,
+        *,
+        answered: bool = False,
+        refused: bool = False,
     ) -> None:
-        """Count the pending request of a flow as ended."""
+        """Count the pending request of a flow as ended.
+
+        :param answered: whether the server has answered it
+        :param refused: whether the server has refused it
+        """
         if rec.pending_server is None or rec.started is None:
             return
         entry = rec.pending_server.entry
         self._server_stats.for_server(entry.name).pending -= 1
         self._admission.window(entry.service).record_end(
-            now_ms, rec.started, answered=answered
+            now_ms, rec.started, answered=answered, refused=refused
         )
         rec.pending_server = None
         rec.started = None
--- a/src/cyclamenridge/flow/server_stats.py
+++ b/src/cyclamenridge/flow/server_stats.py
@@ -28,6 +28,7 @@
     :ivar peer_pending: the same at other balancers, from their beacons
     :ivar open_flows: open flows that this process tracks
     :ivar last_answer_ms: when a client last acknowledged data of the server
+    :ivar last_refusal_ms: when the server last refused a request
     :ivar last_retransmission_ms: when a client last retransmitted a packet
     :ivar next_probe_ms: when the next flow may probe a silent server
     """
@@ -35,6 +36,7 @@
     __slots__ = (
         "_unanswered_flows",
         "last_answer_ms",
+        "last_refusal_ms",
         "last_retransmission_ms",
         "next_probe_ms",
         "open_flows",
@@ -47,6 +49,7 @@
         self.open_flows = 0
         self.peer_pending = 0.0
         self.last_answer_ms = _NEVER_MS
+        self.last_refusal_ms = _NEVER_MS
         self.last_retransmission_ms = _NEVER_MS
         self.next_probe_ms = 0
         self._unanswered_flows: set[Hashable] = set()
--- a/src/cyclamenridge/flow/service_window.py
+++ b/src/cyclamenridge/flow/service_window.py
@@ -225,9 +225,17 @@
         return item
 
     def record_end(
-        self, now_ms: int, item: Started, *, answered: bool
+        self,
+        now_ms: int,
+        item: Started,
+        *,
+        answered: bool,
+        refused: bool = False,
     ) -> None:
-        """Count the end of a request."""
+        """Count the end of a request.
+
+        :param refused: whether the server has refused it
+        """
         item.is_ended = True
         self.in_progress = max(0, self.in_progress - 1)
         if self._by_server[item.server] > 0:
