Share the slots of a service in proportion to the demand of each balancer

Cause: a balancer added up the loads that it had heard of each peer. Refusals counted as fast answers and raised the limit for each slot.

Change: beacons carry the requests in progress and waiting by service; the mean of recent ones times the number of peers is the demand of all (flow/demand.py), and each balancer gets a share of the slots in proportion to its own. Refusals lower the limit. Answers of one packet leave their slot when the server sent them. Limits for each slot are 1.2, 1.5 and 3.5 (1.5, 2 and 4.5 before), as the count is closer to what servers hold. A test of the selection that has 20 requests pending at once got servers with 10 slots instead of 8, so that none of them has to wait; it checks the same.

--- a/src/cyclamenridge/flow/admission.py
+++ b/src/cyclamenridge/flow/admission.py
@@ -5,6 +5,7 @@
 refused as often as others, and clients use up their tries.
 """
 
+from cyclamenridge.flow import demand as demand_lib
 from cyclamenridge.flow import directory as directory_lib
 from cyclamenridge.flow import routes
 from cyclamenridge.flow import server_stats as stats_lib
@@ -37,6 +38,7 @@
     """Decides which requests start and which wait.
 
     :ivar balancers: number of balancers, this one included
+    :ivar peer_demand: requests at other balancers, from their beacons
     :ivar peer_scale: peers per peer whose load is known, None if no load is
     :ivar waiting_count: requests that wait, at all services
     """
@@ -47,6 +49,7 @@
         server_stats: stats_lib.ServerStatsTable,
     ) -> None:
         self.balancers = 1
+        self.peer_demand = demand_lib.PeerDemand()
         self.peer_scale: float | None = 1.0
         self.waiting_count = 0
         self._directory = directory
@@ -124,6 +127,14 @@
         self.waiting_count += 1
         return item
 
+    def demand(self) -> dict[str, int]:
+        """Return the requests in progress and waiting, by service."""
+        return {
+            service: window.demand
+            for service, window in self._windows.items()
+            if window.demand
+        }
+
     def has_waiting(self, service: str) -> bool:
         """Return whether requests of a service wait for a slot."""
         return len(self.window(service).queue) > 0
@@ -198,24 +209,22 @@
     ) -> None:
         slots = self._directory.ready_slots(service)
         silent_slots = 0
-        peer_requests = 0.0
         for name, stats in self._server_stats.items():
             server = self._directory.get(name)
-            if server is None or server.entry.service != service:
-                continue
-            if not stats.is_silent(now_ms):
-                peer_requests += stats.peer_pending
-            elif self._directory.is_ready(server):
+            if (
+                server is not None
+                and server.entry.service == service
+                and stats.is_silent(now_ms)
+                and self._directory.is_ready(server)
+            ):
                 silent_slots += server.entry.slots
         if silent_slots < slots:
             slots -= silent_slots
         window.refresh(
             now_ms,
             slots=slots,
-            peer_requests=(
-                None
-                if self.peer_scale is None
-                else peer_requests * self.peer_scale
+            peer_demand=self.peer_demand.estimate(
+                now_ms, service, peers=self.balancers - 1
             ),
             balancers=self.balancers,
         )
--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -19,6 +19,7 @@
 from cyclamenridge.flow import routes as routes_lib
 from cyclamenridge.flow import selection
 from cyclamenridge.flow import server_stats as stats_lib
+from cyclamenridge.flow import service_window
 from cyclamenridge.flow import tracking
 from cyclamenridge.flow import waiting
 
@@ -369,7 +370,9 @@
         if rec.server is None:
             rec.server = server
             self.server_stats.for_server(name).open_flows += 1
-            self._table.clear_pending(now_ms, rec, answered=True)
+            self._table.clear_pending(
+                now_ms, rec, answer=service_window.Answer()
+            )
             if rec.tried_servers:
                 # This process forwarded the SYN of this handshake.
                 self.latencies["handshake"].record(now_ms - rec.opened_ms)
@@ -397,17 +400,20 @@
         self, now_ms: int, rec: tracking.FlowRecord, acked_bytes: int
     ) -> None:
         assert rec.pending_server is not None
-        if rec.route is not None and self._refusals.record(
-            rec.route.name, acked_bytes
-        ):
+        answer = service_window.Answer(
+            is_refusal=rec.route is not None
+            and self._refusals.record(rec.route.name, acked_bytes),
+            is_single_packet=acked_bytes <= packet_lib.MAX_DATA_BYTES,
+        )
+        if answer.is_refusal:
             self.counters["refusals"] += 1
-            self.server_stats.for_server(
-                rec.pending_server.entry.name
-            ).last_refusal_ms = now_ms
-            self._table.clear_pending(now_ms, rec, refused=True)
-            return
-        self.latencies["first_answer"].record(now_ms - rec.pending_since_ms)
-        self._table.clear_pending(now_ms, rec, answered=True)
+            name = rec.pending_server.entry.name
+            self.server_stats.for_server(name).last_refusal_ms = now_ms
+        else:
+            self.latencies["first_answer"].record(
+                now_ms - rec.pending_since_ms
+            )
+        self._table.clear_pending(now_ms, rec, answer=answer)
 
     def _change_server(
         self, rec: tracking.FlowRecord, server: directory_lib.Server
--- a/src/cyclamenridge/flow/flow_table.py
+++ b/src/cyclamenridge/flow/flow_table.py
@@ -3,6 +3,7 @@
 from cyclamenridge.flow import admission as admission_lib
 from cyclamenridge.flow import directory as directory_lib
 from cyclamenridge.flow import server_stats as stats_lib
+from cyclamenridge.flow import service_window
 from cyclamenridge.flow import tracking
 
 
@@ -48,20 +49,18 @@
         now_ms: int,
         rec: tracking.FlowRecord,
         *,
-        answered: bool = False,
-        refused: bool = False,
+        answer: service_window.Answer | None = None,
     ) -> None:
         """Count the pending request of a flow as ended.
 
-        :param answered: whether the server has answered it
-        :param refused: whether the server has refused it
+        :param answer: what the server answered, None if it is not known
         """
         if rec.pending_server is None or rec.started is None:
             return
         entry = rec.pending_server.entry
         self._server_stats.for_server(entry.name).pending -= 1
         self._admission.window(entry.service).record_end(
-            now_ms, rec.started, answered=answered, refused=refused
+            now_ms, rec.started, answer=answer
         )
         rec.pending_server = None
         rec.started = None
--- a/src/cyclamenridge/flow/packet.py
+++ b/src/cyclamenridge/flow/packet.py
@@ -14,6 +14,9 @@
     RST = 8
 
 
+# Data of a packet, in bytes.
+MAX_DATA_BYTES = 1200
+
 SYN = int(Flag.SYN)
 ACK = int(Flag.ACK)
 FIN = int(Flag.FIN)
--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -1,5 +1,6 @@
 """Gossip between balancers: load, versions and membership."""
 
+import collections
 import random
 
 import msgspec
@@ -46,6 +47,8 @@
     :param revision: store revision up to which changes are applied
     :param members: addresses of some of the sender's peers
     :param epoch: epoch of the store that the revision belongs to
+    :param demand: requests in progress and waiting by service, None if the
+        sender does not tell
     """
 
     name: str
@@ -56,6 +59,7 @@
     loads: list[Load]
     members: list[str]
     epoch: int = 0
+    demand: dict[str, int] | None = None
 
 
 class Snapshot(msgspec.Struct, frozen=True):
@@ -208,6 +212,7 @@
                 loads,
                 members,
                 self._core.directory.position.epoch,
+                self._core.admission.demand(),
             )
         )
 
@@ -232,6 +237,12 @@
         peer.failure_domain = beacon.failure_domain
         peer.last_beacon_ms = now_ms
         self._core.reachability.record_beacon(now_ms, beacon.failure_domain)
+        self._core.admission.peer_demand.record(
+            now_ms,
+            self._sum_by_service(beacon.loads)
+            if beacon.demand is None
+            else beacon.demand,
+        )
         self._set_loads(peer, beacon.loads)
         for member in beacon.members[:MAX_MEMBERS]:
             if member != self._host and member not in self._peers:
@@ -305,6 +316,15 @@
         routes = self._core.routes
         return 0 if routes is None else routes.version
 
+    def _sum_by_service(self, loads: list[Load]) -> dict[str, float]:
+        """Return the load of a peer that does not tell its demand."""
+        demand: dict[str, float] = collections.defaultdict(float)
+        for load in loads:
+            server = self._core.directory.by_token(load.token)
+            if server is not None:
+                demand[server.entry.service] += load.waiting
+        return demand
+
     def _set_loads(self, peer: _Peer, loads: list[Load]) -> None:
         """Replace the load of a peer by a moving average with new values.
 
--- a/src/cyclamenridge/flow/service_window.py
+++ b/src/cyclamenridge/flow/service_window.py
@@ -2,29 +2,35 @@
 
 import collections
 
+import msgspec
+
 from cyclamenridge.flow import waiting
 
 # Requests in progress for each slot of a service, at all balancers together.
 # Fewer leave slots idle between two requests. More wait at the servers, which
 # refuse requests above five a slot.
-MIN_REQUESTS_PER_SLOT = 1.5
-INITIAL_REQUESTS_PER_SLOT = 2.0
-MAX_REQUESTS_PER_SLOT = 4.5
+MIN_REQUESTS_PER_SLOT = 1.2
+INITIAL_REQUESTS_PER_SLOT = 1.5
+MAX_REQUESTS_PER_SLOT = 3.5
 # Aim for the time at the server and on the network, as a part of the target
 # latency. The limit for each slot shrinks above it and grows below it.
 ANSWER_TIME_PART = 0.6
 LIMIT_DECREASE_FACTOR = 0.85
 LIMIT_INCREASE_FACTOR = 1.03
 # A burst reaches all balancers before their beacons tell of it. At first the
-# window is this many times the even part of the slots. It grows by the second
-# factor at each refresh while it is full and the peers leave slots unused.
-INITIAL_WINDOW_FACTOR = 2.0
+# window is at most this many times the even part of the slots. It grows by the
+# second factor at each refresh while it is full and its share allows more.
+INITIAL_WINDOW_FACTOR = 1.5
 WINDOW_GROWTH_FACTOR = 1.15
+# Part of the answers that servers refuse. Above the first one the limit for
+# each slot shrinks; it only grows below the second one.
+MAX_REFUSED_PART = 0.1
+TOLERATED_REFUSED_PART = 0.02
 REFRESH_INTERVAL_MS = 100
 # Minimum interval of recounts of a window that is full.
 RECOUNT_INTERVAL_MS = 10
-# Weight of a new sum of the peers' requests, which arrives up to 200 ms late.
-PEER_SMOOTHING = 0.5
+# Weight of a new value in the mean demand of this balancer and of its peers.
+DEMAND_SMOOTHING = 0.5
 # Weight of a new sample in the mean latency.
 LATENCY_SMOOTHING = 0.1
 # A request is not counted any longer after this many times the mean latency:
@@ -41,6 +47,20 @@
 INITIAL_HANDSHAKE_MS = 5.0
 INITIAL_ANSWER_MS = 50.0
 MIN_OVERDUE_MS = 20
+# Clients acknowledge an answer of a single packet this much later.
+ACK_DELAY_MS = 40
+
+
+class Answer(msgspec.Struct, frozen=True, gc=False):
+    """How a server ended a request or a handshake.
+
+    :param is_refusal: whether it refused the request
+    :param is_single_packet: whether the client acknowledged a single packet,
+        after ``ACK_DELAY_MS``
+    """
+
+    is_refusal: bool = False
+    is_single_packet: bool = False
 
 
 class Started:
@@ -92,14 +112,19 @@
         self.per_slot = INITIAL_REQUESTS_PER_SLOT
         self.queue = waiting.WaitingQueue()
         self.foreign_part = INITIAL_FOREIGN_PART
-        self._peer_requests = 0.0
+        self._own_demand = 0.0
+        self._peer_demand = 0.0
         self._refreshed_ms: int | None = None
         self._was_full = False
         self._counted_ms = 0
         self._started: list[Started] = []
         self._by_server: collections.Counter[str] = collections.Counter()
+        # Times at which answers of a single packet were acknowledged.
+        self._delayed_acks: collections.deque[int] = collections.deque()
         # Mean answer time as a part of the target latency.
         self._answer_part = 0.0
+        # Refused requests as a part of those that were answered or refused.
+        self._refused_part = 0.0
         self._handshakes = _MeanLatency(INITIAL_HANDSHAKE_MS)
         self._answers = _MeanLatency(INITIAL_ANSWER_MS)
 
@@ -110,51 +135,80 @@
             or now_ms - self._refreshed_ms >= REFRESH_INTERVAL_MS
         )
 
+    @property
+    def demand(self) -> int:
+        """Number of requests in progress and waiting."""
+        return self.in_progress + len(self.queue)
+
     def refresh(
         self,
         now_ms: int,
         *,
         slots: int,
-        peer_requests: float | None,
+        peer_demand: float | None,
         balancers: int,
     ) -> None:
         """Update the limit, and drop overdue requests from the count.
 
-        A balancer may always use its even part of the slots, also when it
-        cannot receive beacons.
+        Balancers share the slots in proportion to their demand. Each may
+        always use its even part, also when it cannot receive beacons.
 
         :param slots: slots of the service's servers
-        :param peer_requests: requests in progress at other balancers, None if
-            no beacon tells of them
+        :param peer_demand: requests in progress and waiting at other
+            balancers, None if no beacon tells of them
         """
         self._refreshed_ms = now_ms
+        self._drop_overdue(now_ms)
         self._adapt_to_answers()
         total = self.per_slot * slots
         even_part = total / balancers
-        if peer_requests is None:
-            peer_requests = total - even_part
-        self._peer_requests += PEER_SMOOTHING * (
-            peer_requests - self._peer_requests
-        )
+        self._own_demand += DEMAND_SMOOTHING * (self.demand - self._own_demand)
+        if peer_demand is None:
+            share = even_part
+        else:
+            self._peer_demand += DEMAND_SMOOTHING * (
+                peer_demand - self._peer_demand
+            )
+            share = self._share(total)
         limit = INITIAL_WINDOW_FACTOR * even_part
         if self._was_full:
             limit = max(limit, WINDOW_GROWTH_FACTOR * self.limit)
         self._was_full = False
-        unused = total - self._peer_requests
-        self.limit = max(1.0, even_part, min(limit, unused))
-        self._drop_overdue(now_ms)
+        self.limit = max(1.0, even_part, min(limit, share))
+
+    def _share(self, total: float) -> float:
+        """Return the part of the slots that this balancer's demand calls for.
+
+        Slots that nobody asks for allow for a demand that is above its mean.
+
+        :param total: requests that all balancers may have in progress
+        """
+        own_demand = max(self._own_demand, self.demand)
+        all_demand = own_demand + self._peer_demand
+        if all_demand <= 0:
+            return total
+        factor = total / all_demand
+        if factor > 1:
+            return max(own_demand * factor, total - self._peer_demand)
+        return own_demand * factor
 
     def _adapt_to_answers(self) -> None:
         """Move the limit for each slot towards timely answers.
 
-        It rises above its initial value only while requests have to wait.
+        It rises above its initial value only while requests have to wait and
+        servers refuse none.
         """
         bound = INITIAL_REQUESTS_PER_SLOT
-        if self._answer_part > ANSWER_TIME_PART:
+        if (
+            self._answer_part > ANSWER_TIME_PART
+            or self._refused_part > MAX_REFUSED_PART
+        ):
             self.per_slot = max(
                 MIN_REQUESTS_PER_SLOT, self.per_slot * LIMIT_DECREASE_FACTOR
             )
-        elif self._was_full or self.per_slot < bound:
+        elif self.per_slot < bound or (
+            self._was_full and self._refused_part < TOLERATED_REFUSED_PART
+        ):
             self.per_slot = min(
                 MAX_REQUESTS_PER_SLOT, self.per_slot * LIMIT_INCREASE_FACTOR
             )
@@ -162,16 +216,27 @@
             self.per_slot = max(bound, self.per_slot / LIMIT_INCREASE_FACTOR)
 
     def is_full(self, now_ms: int, limit: float) -> bool:
-        """Return whether as many requests as ``limit`` are in progress."""
+        """Return whether servers work on as many requests as ``limit``."""
         if (
-            self.in_progress >= limit
+            self._at_servers(now_ms) >= limit
             and now_ms - self._counted_ms >= RECOUNT_INTERVAL_MS
         ):
             self._drop_overdue(now_ms)
-        is_full = self.in_progress >= limit
+        is_full = self._at_servers(now_ms) >= limit
         self._was_full |= is_full
         return is_full
 
+    def _at_servers(self, now_ms: int) -> int:
+        """Return the requests in progress less those that were answered.
+
+        As many answers wait for their acknowledgement now as were
+        acknowledged within the last delay.
+        """
+        acks = self._delayed_acks
+        while acks and now_ms - acks[0] > ACK_DELAY_MS:
+            acks.popleft()
+        return self.in_progress - min(len(acks), self.in_progress // 2)
+
     def in_progress_at(self, now_ms: int, server: str) -> int:
         """Return the requests that a server works on, overdue ones left out.
 
@@ -229,23 +294,29 @@
         now_ms: int,
         item: Started,
         *,
-        answered: bool,
-        refused: bool = False,
+        answer: Answer | None,
     ) -> None:
         """Count the end of a request.
 
-        :param refused: whether the server has refused it
+        :param answer: what the server answered, None if it is not known
         """
         item.is_ended = True
         self.in_progress = max(0, self.in_progress - 1)
         if self._by_server[item.server] > 0:
             self._by_server[item.server] -= 1
-        if not answered:
+        if answer is None:
             return
         elapsed_ms = now_ms - item.started_ms
         if item.is_syn:
             self._handshakes.record(elapsed_ms)
-        else:
+            return
+        if answer.is_single_packet:
+            self._delayed_acks.append(now_ms)
+            elapsed_ms = max(0, elapsed_ms - ACK_DELAY_MS)
+        self._refused_part += LATENCY_SMOOTHING * (
+            answer.is_refusal - self._refused_part
+        )
+        if not answer.is_refusal:
             self._answers.record(elapsed_ms)
             self._answer_part += LATENCY_SMOOTHING * (
                 min(elapsed_ms / item.aim_ms, 2.0) - self._answer_part
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -356,20 +356,44 @@
 
 def make_window(**options):
     window = service_window.ServiceWindow()
-    arguments = {"slots": 14, "peer_requests": 0.0, "balancers": 5} | options
+    arguments = {"slots": 14, "peer_demand": 0.0, "balancers": 5} | options
     window.refresh(0, **arguments)
     return window, arguments
 
 
 def test_a_balancer_may_always_use_its_even_part_of_the_slots():
     """Loads of peers may be wrong, or come from balancers that died."""
-    window, arguments = make_window(peer_requests=1000.0)
+    window, arguments = make_window(peer_demand=1000.0)
     for now_ms in range(100, 3000, 100):
         window.refresh(now_ms, **arguments)
     part = service_window.INITIAL_REQUESTS_PER_SLOT * 14 / 5
     assert window.limit == pytest.approx(part)
 
 
+def test_balancers_share_the_slots_in_proportion_to_their_demand():
+    """Together they put no more on the servers than the slots allow."""
+    limits = []
+    for own_demand in (60, 30, 10):
+        window, arguments = make_window(
+            peer_demand=100.0 - own_demand, balancers=3
+        )
+        for now_ms in range(100, 6000, 100):
+            items = [
+                window.record_start(
+                    now_ms, server="s", is_syn=True, aim_ms=150
+                )
+                for _ in range(own_demand)
+            ]
+            assert window.is_full(now_ms, own_demand)
+            window.refresh(now_ms, **arguments)
+            for item in items:
+                window.record_end(now_ms, item, answer=None)
+        limits.append(window.limit)
+    total = window.per_slot * 14
+    # Each may always use its even part.
+    assert limits == pytest.approx([0.6 * total, total / 3, total / 3])
+
+
 def test_a_balancer_uses_the_slots_that_its_peers_leave():
     """All the load of a domain may come through one balancer."""
     window, arguments = make_window()
@@ -382,7 +406,7 @@
 
 
 def test_a_balancer_without_beacons_keeps_to_its_even_part():
-    window, arguments = make_window(peer_requests=None)
+    window, arguments = make_window(peer_demand=None)
     for now_ms in range(100, 3000, 100):
         assert window.is_full(now_ms, 0)
         window.refresh(now_ms, **arguments)
@@ -397,7 +421,9 @@
             item = window.record_start(
                 now_ms, server="s", is_syn=False, aim_ms=150
             )
-            window.record_end(now_ms + elapsed_ms, item, answered=True)
+            window.record_end(
+                now_ms + elapsed_ms, item, answer=service_window.Answer()
+            )
             if now_ms % 100 == 0:
                 window.refresh(now_ms, **arguments)
 
@@ -407,6 +433,41 @@
     assert window.per_slot >= service_window.INITIAL_REQUESTS_PER_SLOT
 
 
+def test_refusals_lower_the_limit_and_do_not_count_as_fast_answers():
+    """Servers refused a third of the arrivals while the limit rose."""
+    window, arguments = make_window()
+    for now_ms in range(10, 2000, 10):
+        item = window.record_start(
+            now_ms, server="s", is_syn=False, aim_ms=150
+        )
+        window.record_end(
+            now_ms + 2,
+            item,
+            answer=service_window.Answer(is_refusal=now_ms % 40 == 0),
+        )
+        assert window.is_full(now_ms, 0)
+        if now_ms % 100 == 0:
+            window.refresh(now_ms, **arguments)
+    assert window.per_slot < service_window.INITIAL_REQUESTS_PER_SLOT
+
+
+def test_an_answer_that_is_acknowledged_late_has_left_its_slot():
+    """A quarter of the slots was idle while requests waited."""
+    window, _ = make_window()
+    for now_ms in range(0, 200, 10):
+        item = window.record_start(
+            now_ms - 80, server="s", is_syn=False, aim_ms=150
+        )
+        window.record_end(
+            now_ms, item, answer=service_window.Answer(is_single_packet=True)
+        )
+    for _ in range(10):
+        window.record_start(195, server="s", is_syn=False, aim_ms=150)
+    acknowledged = service_window.ACK_DELAY_MS // 10
+    assert window.is_full(195, 10 - acknowledged)
+    assert not window.is_full(195, 11 - acknowledged)
+
+
 def test_requests_whose_answer_passes_another_balancer_are_not_counted_long():
     """After a change of the routers, most flows move to other balancers."""
     window, _ = make_window()
@@ -414,7 +475,7 @@
         item = window.record_start(
             now_ms, server="s", is_syn=False, aim_ms=150
         )
-        window.record_end(now_ms + 40, item, answered=True)
+        window.record_end(now_ms + 40, item, answer=service_window.Answer())
     for _ in range(10):
         window.record_start(200, server="s", is_syn=False, aim_ms=150)
     assert window.is_full(220, 10)
--- a/tests/flow/test_core.py
+++ b/tests/flow/test_core.py
@@ -223,8 +223,8 @@
 def test_a_server_of_the_own_domain_is_preferred_until_it_is_busier():
     """Preferring the own domain must not overload its servers."""
     core = builders.make_core(
-        builders.server_entry(1, slots=8),
-        builders.server_entry(2, slots=8, failure_domain="tsv"),
+        builders.server_entry(1, slots=10),
+        builders.server_entry(2, slots=10, failure_domain="tsv"),
     )
     chosen = []
     for number in range(20):
