Obey orders to evacuate failure domains

Cause: the keys op/evacuate/DOMAIN were read and dropped, so that flows opened in evacuated domains until the order was withdrawn.

Change: flow/evacuation.py keeps, for each domain, the position of its newest order or withdrawal. The directory owns it and leaves servers of evacuated domains out of ready_servers and ready_slots. What a restored store says is held by flow/holds.py, which the directory's servers use as well. Requests on open flows to evacuated domains start at once. The shorter of the bounds on changes and evacuations sets the intervals. download counts as idempotent, and unknown types are logged once.

A listed order is only held if its revision is not above that of the withdrawal and it was not written after the last read of the epoch: an order in a copy has a smaller revision than its withdrawal.

--- a/src/cyclamenridge/compose_flows.py
+++ b/src/cyclamenridge/compose_flows.py
@@ -62,7 +62,7 @@
             store.PlatformStore(
                 settings.store.address, watch_wait_ms=intervals.watch_wait_ms
             ),
-            records.PlatformRecordDecoder(),
+            records.PlatformRecordDecoder(log_event=log.process_event),
             core,
             clock=clock,
             rng=rng,
--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -57,7 +57,9 @@
             "first_answer": latency.LatencyHistogram(),
         }
         self.directory = directory_lib.Directory(
-            longest_flow_ms, report_interval_ms=report_interval_ms
+            longest_flow_ms,
+            report_interval_ms=report_interval_ms,
+            log_event=log.process_event,
         )
         self.server_stats = stats_lib.ServerStatsTable()
         self.reachability = reachability_lib.DomainReachability(failure_domain)
@@ -445,22 +447,20 @@
         The first request of a flow starts at once if its SYN had to wait.
         """
         is_admitted, rec.is_admitted = rec.is_admitted, False
-        entry = server.entry
         if (
             not is_admitted
             and rec.route is not None
-            and server.removed_ms is None
-            and entry.state is directory_lib.ServerState.READY
+            and self.directory.is_ready(server)
             and not self.admission.can_start(
                 now_ms,
-                entry.service,
+                server.entry.service,
                 server,
                 is_preferred=self._opener.is_preferred(rec.route),
             )
         ):
             rec.waiting = self.admission.enqueue(
                 now_ms,
-                service=entry.service,
+                service=server.entry.service,
                 route=rec.route,
                 record=rec,
                 server=server,
--- a/src/cyclamenridge/flow/directory.py
+++ b/src/cyclamenridge/flow/directory.py
@@ -1,5 +1,6 @@
 """Directory of the backend servers that the store and the peers list."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 import enum
@@ -7,6 +8,8 @@
 import msgspec
 
 from cyclamenridge import address as address_lib
+from cyclamenridge.flow import evacuation
+from cyclamenridge.flow import holds
 from cyclamenridge.flow import position as position_lib
 
 Position = position_lib.Position
@@ -79,11 +82,7 @@
         self.warmup_end_ms = now_ms + entry.warmup_ms
 
 
-# A server that is alive and reaches the store registers again within two
-# seconds after the store has returned.
-REGISTRATION_TIMEOUT_MS = 2500
-# The store removes the entry of a server after it missed this many reports.
-_MAX_MISSED_REPORTS = 3
+REGISTRATION_TIMEOUT_MS = holds.REGISTRATION_TIMEOUT_MS
 # Removed servers are kept for the lifetime of their flows times this factor,
 # because the end of a flow is noticed late.
 RETENTION_FACTOR = 1.5
@@ -114,15 +113,8 @@
     held: list[str]
 
 
-class _Held(msgspec.Struct):
-    """What a restored store says of a server and may have to take back.
-
-    :ivar entry: None if the store does not list the server
-    """
-
-    entry: ServerEntry | None
-    position: Position
-    since_ms: int
+def _ignore_event(event: str, **fields: object) -> None:
+    """Default callback for events."""
 
 
 class Directory:
@@ -133,11 +125,18 @@
     again. Such entries are held until they are written again or time has
     confirmed them: the store removes the entry of a server that is gone.
 
+    Servers of evacuated failure domains accept no new flows.
+
     :ivar position: store position up to which changes are applied
+    :ivar evacuations: orders to evacuate failure domains
     """
 
     def __init__(
-        self, longest_flow_ms: int, *, report_interval_ms: int
+        self,
+        longest_flow_ms: int,
+        *,
+        report_interval_ms: int,
+        log_event: Callable[..., None] = _ignore_event,
     ) -> None:
         self.position = Position()
         self._retention_ms = longest_flow_ms * RETENTION_FACTOR
@@ -149,10 +148,16 @@
         self._ready_by_service: dict[str, list[Server]] = {}
         self._ready_slots: dict[str, int] = {}
         self._is_indexed = True
-        self._held: dict[str, _Held] = {}
-        self._entry_hold_ms = (
-            REGISTRATION_TIMEOUT_MS + _MAX_MISSED_REPORTS * report_interval_ms
+        # The value is None if the store does not list the server.
+        self._holds: holds.Holds[ServerEntry | None] = holds.Holds()
+        self._entry_hold_ms = holds.entry_hold_ms(report_interval_ms)
+        self.evacuations = evacuation.Evacuations(
+            hold_ms=self._entry_hold_ms,
+            has_servers=self._has_servers_in,
+            log_event=log_event,
         )
+        # Changes of the orders that the indexes include.
+        self._indexed_changes = 0
 
     def __iter__(self) -> Iterator[Server]:
         return iter(self._servers.values())
@@ -188,9 +193,16 @@
         return (
             server.removed_ms is None
             and server.entry.state is ServerState.READY
+            and not self.evacuations.is_evacuated(server.entry.failure_domain)
             and not self.has_token_collision(server)
         )
 
+    def _has_servers_in(self, domain: str) -> bool:
+        return any(
+            server.removed_ms is None and server.entry.failure_domain == domain
+            for server in self._servers.values()
+        )
+
     def put(self, now_ms: int, entry: ServerEntry) -> bool:
         """Store an entry; return False if a newer one is known.
 
@@ -227,7 +239,7 @@
         ):
             self._by_token[fresh.token] = fresh
         self._is_indexed = False
-        self._held.pop(entry.name, None)
+        self._holds.discard(entry.name)
 
     def remove(self, now_ms: int, name: str, position: Position) -> bool:
         """Mark a server as removed; return whether that changed its state."""
@@ -235,7 +247,7 @@
         if server is None or server.position >= position:
             return False
         server.position = position
-        self._held.pop(name, None)
+        self._holds.discard(name)
         if server.removed_ms is not None:
             return False
         server.removed_ms = now_ms
@@ -261,7 +273,7 @@
             if name not in names and self._drop(now_ms, name, position)
         ]
         self.advance(position)
-        return Listing(put, removed, list(self._held))
+        return Listing(put, removed, list(self._holds))
 
     def _drop(self, now_ms: int, name: str, position: Position) -> bool:
         """Remove a server that a list omits, or hold that it is missing."""
@@ -270,8 +282,8 @@
             server.removed_ms is None
             and server.position.epoch < position.epoch
         ):
-            since_ms = self._hold(now_ms, name, position, None)
-            if now_ms - since_ms < REGISTRATION_TIMEOUT_MS:
+            held = self._hold(now_ms, name, position, None)
+            if not held.is_confirmed(now_ms):
                 return False
         return self.remove(now_ms, name, position)
 
@@ -281,44 +293,38 @@
         name: str,
         position: Position,
         entry: ServerEntry | None,
-    ) -> int:
-        """Hold what the store says; return since when it has to be confirmed.
-
-        The time starts anew with each epoch.
-        """
-        since_ms = now_ms
-        held = self._held.get(name)
-        if held is not None and held.position.epoch == position.epoch:
-            since_ms = held.since_ms
-        self._held[name] = _Held(entry, position, since_ms)
-        return since_ms
+    ) -> holds.Held[ServerEntry | None]:
+        return self._holds.hold(
+            now_ms,
+            name,
+            position,
+            entry,
+            hold_ms=(
+                REGISTRATION_TIMEOUT_MS
+                if entry is None
+                else self._entry_hold_ms
+            ),
+        )
 
     def settle(self, now_ms: int) -> list[str]:
-        """Apply what was held for long enough; return the names.
+        """Apply what was held for long enough; return the servers' names.
 
         To be called when all changes up to ``now_ms`` are applied.
         """
+        self.evacuations.settle(now_ms)
         names = []
-        for name, held in list(self._held.items()):
-            hold_ms = (
-                REGISTRATION_TIMEOUT_MS
-                if held.entry is None
-                else self._entry_hold_ms
-            )
-            if now_ms - held.since_ms < hold_ms:
-                continue
+        for name, held in self._holds.pop_confirmed(now_ms):
             names.append(name)
-            del self._held[name]
-            if held.entry is None:
+            if held.value is None:
                 self.remove(now_ms, name, held.position)
             else:
-                self._set(now_ms, held.entry)
+                self._set(now_ms, held.value)
         return names
 
     def restart_holds(self, now_ms: int) -> None:
         """Hold everything anew, because the store was away meanwhile."""
-        for held in self._held.values():
-            held.since_ms = now_ms
+        self._holds.restart(now_ms)
+        self.evacuations.restart_holds(now_ms)
 
     def advance(self, position: Position) -> None:
         """Record that all changes up to a store position are applied."""
@@ -343,9 +349,13 @@
         return self._by_token.get(server.token) is not server
 
     def _rebuild_index(self) -> None:
-        if self._is_indexed:
+        if (
+            self._is_indexed
+            and self._indexed_changes == self.evacuations.changes
+        ):
             return
         self._is_indexed = True
+        self._indexed_changes = self.evacuations.changes
         services: dict[str, list[Server]] = {}
         for server in self._servers.values():
             if server.removed_ms is None:
--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -7,6 +7,7 @@
 import cyclamenridge.errors as errors
 from cyclamenridge.flow import core as core_lib
 from cyclamenridge.flow import directory as directory_lib
+from cyclamenridge.flow import evacuation
 from cyclamenridge.flow import position as position_lib
 from cyclamenridge.flow import routes as routes_lib
 
@@ -29,6 +30,9 @@
 MAX_MEMBERS = 6
 # Minimum time between two fetches of snapshots.
 PULL_INTERVAL_MS = 500
+# The same while only orders are missing here. A process of a version without
+# orders never sends them; a fetch of 147 servers takes about 25 KB.
+ORDERS_PULL_INTERVAL_MS = 10_000
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
@@ -63,6 +67,7 @@
 
     :param removed: removed servers whose flows may still be open
     :param epoch: epoch of the store that the revision belongs to
+    :param evacuations: None if the sender's version does not know of orders
     """
 
     routes: routes_lib.RouteTable | None
@@ -70,6 +75,7 @@
     servers: list[directory_lib.ServerEntry]
     removed: list[directory_lib.ServerEntry]
     epoch: int = 0
+    evacuations: evacuation.OrderSnapshot | None = None
 
 
 class BeaconAction(msgspec.Struct, frozen=True):
@@ -132,8 +138,11 @@
         self._unheard_hosts: dict[str, int] = {}
         self._next_seed_ms = 0
         self._next_pull_ms = 0
+        self._next_orders_pull_ms = 0
         # Own version and position at the first beacon of a peer ahead of them.
-        self._lagging_at: tuple[int, position_lib.Position] | None = None
+        self._lagging_at: (
+            tuple[int, position_lib.Position, position_lib.Position] | None
+        ) = None
         self._lagging_since_ms = 0
 
     def __len__(self) -> int:
@@ -243,10 +252,17 @@
 
     def _is_behind(self, now_ms: int, beacon: Beacon) -> bool:
         """Return whether to catch up from a peer instead of the store."""
-        own = self._version, self._core.directory.position
+        directory = self._core.directory
+        orders_position = directory.evacuations.position
+        own = self._version, directory.position, orders_position
         announced = position_lib.Position(beacon.epoch, beacon.revision)
-        if beacon.version <= own[0] and announced <= own[1]:
-            return False
+        if beacon.version <= own[0] and announced <= directory.position:
+            if announced <= orders_position or now_ms < (
+                self._next_orders_pull_ms
+            ):
+                return False
+            self._next_orders_pull_ms = now_ms + ORDERS_PULL_INTERVAL_MS
+            return True
         if not self._core.can_place_flows or self._core.store_lost:
             return True
         if own != self._lagging_at:
@@ -272,6 +288,7 @@
                     if server.removed_ms is not None
                 ],
                 directory.position.epoch,
+                directory.evacuations.snapshot(),
             )
         )
 
@@ -298,6 +315,10 @@
                 directory.remove(now_ms, entry.name, position)
             directory.replace(now_ms, position, snapshot.servers)
             is_changed = True
+        if snapshot.evacuations is not None:
+            is_changed |= directory.evacuations.apply_snapshot(
+                now_ms, snapshot.evacuations
+            )
         return is_changed
 
     @property
--- a/src/cyclamenridge/flow/settings.py
+++ b/src/cyclamenridge/flow/settings.py
@@ -26,6 +26,8 @@
     :param longest_flow_ms: maximum lifetime of a flow
     :param report_interval_ms: interval at which servers report to the store
     :param metrics_port: port that serves metrics and the state dump
+    :param evacuation_ms: time within which an order to evacuate a failure
+        domain has to take effect
     """
 
     name: str
@@ -42,6 +44,7 @@
     longest_flow_ms: int
     report_interval_ms: int
     metrics_port: int
+    evacuation_ms: int = 5000
 
 
 class Intervals(msgspec.Struct, frozen=True, kw_only=True):
@@ -71,14 +74,15 @@
     """Return the intervals that let changes take effect in time.
 
     A watch on a dead connection has to time out before ``contact_ms`` is over
-    and changes are due again. Coalescing takes a third of ``change_ms`` and
-    waiting for the store half of it; each leaves time for the call that
-    follows.
+    and changes are due again. Coalescing takes a third of the shorter of
+    ``change_ms`` and ``evacuation_ms``, and waiting for the store half of it;
+    each leaves time for the call that follows.
     """
+    change_ms = min(settings.change_ms, settings.evacuation_ms)
     return Intervals(
-        coalesce_ms=min(_MAX_COALESCE_MS, settings.change_ms // 3),
+        coalesce_ms=min(_MAX_COALESCE_MS, change_ms // 3),
         watch_wait_ms=max(
             settings.contact_ms - _WATCH_MARGIN_MS, _MIN_WATCH_WAIT_MS
         ),
-        lag_tolerance_ms=settings.change_ms // 2,
+        lag_tolerance_ms=change_ms // 2,
     )
--- a/src/cyclamenridge/platform/records.py
+++ b/src/cyclamenridge/platform/records.py
@@ -1,5 +1,6 @@
 """Decoding of the records that operator and backend servers store."""
 
+from collections.abc import Callable
 import ipaddress
 import re
 
@@ -13,6 +14,16 @@
 
 CONFIG_KEY = "op/config"
 SERVER_PREFIX = "servers/"
+# The rest of the key names a failure domain. The value does not matter.
+EVACUATION_PREFIX = "op/evacuate/"
+
+# Types of requests; the value is whether they are idempotent.
+_REQUEST_TYPES = {
+    "safe": True,
+    "download": True,
+    "unsafe": False,
+    "upload": False,
+}
 
 _NON_HEX = re.compile(r"[^0-9a-fA-F]")
 _IDENT_LIMIT = 2**64
@@ -29,7 +40,7 @@
     host: str
     # Port number between slashes.
     prefix: str
-    # Only requests of the type "safe" are idempotent.
+    # One of _REQUEST_TYPES.
     type: str
     timeout_ms: int
     target_latency_ms: int
@@ -73,6 +84,16 @@
 class PlatformRecordDecoder(records.RecordDecoder):
     """Keys and JSON values in the platform's format."""
 
+    def __init__(
+        self, *, log_event: Callable[..., None] | None = None
+    ) -> None:
+        """Create a decoder.
+
+        :param log_event: called with the name and the fields of an event
+        """
+        self._log_event = log_event
+        self._logged_types: set[str] = set()
+
     def is_config(self, key: str) -> bool:
         """Return whether the key holds the configuration."""
         return key == CONFIG_KEY
@@ -85,6 +106,14 @@
         """Return the name of the server that a key belongs to."""
         return key.removeprefix(SERVER_PREFIX)
 
+    def is_evacuation(self, key: str) -> bool:
+        """Return whether the key orders to evacuate a failure domain."""
+        return key.startswith(EVACUATION_PREFIX)
+
+    def evacuated_domain(self, key: str) -> str:
+        """Return the failure domain that an order is for."""
+        return key.removeprefix(EVACUATION_PREFIX)
+
     def decode_config(
         self, value: bytes, *, epoch: int = 0
     ) -> routes.RouteTable:
@@ -103,7 +132,7 @@
                     host=host,
                     port=port,
                     targets=_decode_targets(route),
-                    idempotent=route.type == "safe",
+                    idempotent=self._is_idempotent(route.type),
                     deadline_ms=route.timeout_ms,
                     aim_ms=route.target_latency_ms,
                     rank=route.priority,
@@ -118,6 +147,17 @@
             epoch=epoch,
         )
 
+    def _is_idempotent(self, request_type: str) -> bool:
+        """Return whether requests of a type may run more than once."""
+        if (
+            request_type not in _REQUEST_TYPES
+            and request_type not in self._logged_types
+        ):
+            self._logged_types.add(request_type)
+            if self._log_event is not None:
+                self._log_event("request_type_unknown", type=request_type)
+        return _REQUEST_TYPES.get(request_type, False)
+
     def decode_server(
         self, key: str, value: bytes, revision: int, *, epoch: int = 0
     ) -> directory.ServerEntry:
--- a/src/cyclamenridge/platform/settings.py
+++ b/src/cyclamenridge/platform/settings.py
@@ -42,6 +42,7 @@
             reader.milliseconds("bounds.config_apply_ms", 3000),
             reader.milliseconds("bounds.drain_ms", 3000),
         ),
+        evacuation_ms=reader.milliseconds("bounds.evacuation_ms", 5000),
         contact_ms=reader.milliseconds("bounds.contact_ms", 4000),
         longest_flow_ms=reader.milliseconds(
             "bounds.max_flow_s", 60, unit_ms=1000
--- a/src/cyclamenridge/ports/records.py
+++ b/src/cyclamenridge/ports/records.py
@@ -21,6 +21,14 @@
     def server_name(self, key: str) -> str:
         """Return the name of the server that a key belongs to."""
 
+    @abc.abstractmethod
+    def is_evacuation(self, key: str) -> bool:
+        """Tell whether the key orders to evacuate a failure domain."""
+
+    @abc.abstractmethod
+    def evacuated_domain(self, key: str) -> str:
+        """Return the failure domain that an order is for."""
+
     @abc.abstractmethod
     def decode_config(
         self, value: bytes, *, epoch: int = 0
--- a/src/cyclamenridge/store_follower.py
+++ b/src/cyclamenridge/store_follower.py
@@ -120,10 +120,16 @@
         self._note_store_answer()
         self._read_epoch = position.epoch
         server_entries = []
+        orders = {}
         refused = []
         for entry in result.entries:
             if self._records.is_config(entry.key):
                 self._apply_config(entry.value, position.epoch)
+            elif self._records.is_evacuation(entry.key):
+                domain = self._records.evacuated_domain(entry.key)
+                orders[domain] = position_lib.Position(
+                    position.epoch, entry.mod_revision
+                )
             elif self._records.is_server(entry.key):
                 server_entry = self._decode_server_entry(
                     entry.key,
@@ -140,6 +146,9 @@
         )
         for name in refused:
             self._core.directory.remove(now_ms, name, position)
+        self._core.directory.evacuations.replace(
+            now_ms, position, orders, source="store"
+        )
         self._settle(now_ms, asked_ms)
         self._core.counters["store_reads"] += 1
         self._core.counters["entries_held"] += len(listing.held)
@@ -151,13 +160,16 @@
             known_revision=known.revision,
             stale=stale,
             servers=len(server_entries),
+            evacuations=len(orders),
             put=listing.put[:MAX_LOGGED_NAMES],
             removed=listing.removed[:MAX_LOGGED_NAMES],
             held=listing.held[:MAX_LOGGED_NAMES],
         )
 
     async def _watch(self) -> None:
-        start = self._core.directory.position
+        evacuations = self._core.directory.evacuations
+        # A peer's snapshot may bring servers and leave out orders.
+        start = min(self._core.directory.position, evacuations.position)
         batches = self._store.watch(
             "",
             start_revision=start.revision + 1,
@@ -175,9 +187,9 @@
                 )
             for change in batch.changes:
                 self._apply_change(now_ms, change, start.epoch)
-            self._core.directory.advance(
-                position_lib.Position(start.epoch, batch.revision)
-            )
+            position = position_lib.Position(start.epoch, batch.revision)
+            self._core.directory.advance(position)
+            evacuations.advance(position)
             self._settle(now_ms, asked_ms)
             if batch.changes or not is_confirmed:
                 # A stale read may list servers that have left. The first
@@ -210,6 +222,15 @@
         if self._records.is_config(change.key):
             if change.value is not None:
                 self._apply_config(change.value, epoch)
+        elif self._records.is_evacuation(change.key):
+            evacuations = self._core.directory.evacuations
+            apply = (
+                evacuations.withdraw
+                if change.value is None
+                else evacuations.order
+            )
+            domain = self._records.evacuated_domain(change.key)
+            apply(now_ms, domain, position, source="store")
         elif self._records.is_server(change.key):
             name = self._records.server_name(change.key)
             if change.value is None:
--- a/tests/flow/test_peers.py
+++ b/tests/flow/test_peers.py
@@ -155,6 +155,183 @@
     assert len(newer.core.directory.listed_servers("counter")) == 2
 
 
+def orders(node):
+    return node.core.directory.evacuations
+
+
+def set_order(node, domain, revision, *, epoch=0, withdrawn=False):
+    """Apply a change of an order as if the store had told of it."""
+    position = builders.at(revision, epoch)
+    apply = orders(node).withdraw if withdrawn else orders(node).order
+    apply(0, domain, position, source="store")
+    advance(node, revision, epoch=epoch)
+
+
+def advance(node, revision, *, epoch=0):
+    node.core.directory.advance(builders.at(revision, epoch))
+    orders(node).advance(builders.at(revision, epoch))
+
+
+def pull(node, other, now_ms=0):
+    """Receive a beacon; return whether the sender's snapshot was applied."""
+    if not node.receive_beacon(now_ms, other).pull:
+        return False
+    return node.peers.apply_snapshot(now_ms, other.peers.encode_snapshot())
+
+
+def test_a_process_that_is_cut_from_the_store_gets_orders_from_a_peer():
+    """Flows opened in the domain until the process reached the store."""
+    here, there = Node(1, *SERVERS), Node(2, *SERVERS)
+    here.core.store_lost = True
+    advance(here, 40)
+    set_order(there, "bne", 41)
+    assert pull(here, there)
+    assert orders(here).domains() == ["bne"]
+    assert here.core.directory.ready_servers("counter") == []
+    ordered = dict(here.core._log.events)["evacuation_ordered"]
+    assert ordered["source"] == "peer"
+    set_order(there, "bne", 42, withdrawn=True)
+    assert pull(here, there, 1000)
+    assert orders(here).domains() == []
+
+
+def test_the_snapshot_of_a_peer_that_is_behind_changes_no_order():
+    here, older = Node(1, *SERVERS), Node(2, *SERVERS)
+    set_order(older, "bne", 41)
+    set_order(older, "syd", 42, withdrawn=True)
+    set_order(here, "bne", 50, withdrawn=True)
+    set_order(here, "syd", 51)
+    assert not here.receive_beacon(0, older).pull
+    assert not here.peers.apply_snapshot(0, older.peers.encode_snapshot())
+    assert orders(here).domains() == ["syd"]
+
+
+def test_an_order_that_a_peer_ahead_does_not_list_is_withdrawn():
+    """The peer may have started after the withdrawal."""
+    here, there = Node(1, *SERVERS), Node(2, *SERVERS)
+    here.core.store_lost = True
+    set_order(here, "bne", 41)
+    advance(there, 60)
+    assert pull(here, there)
+    assert orders(here).domains() == []
+
+
+def test_an_order_that_a_peer_of_a_later_epoch_lacks_stays_in_force():
+    here, there = Node(1, *SERVERS), Node(2, *SERVERS)
+    here.core.store_lost = True
+    set_order(here, "bne", 41, epoch=1)
+    advance(there, 20, epoch=2)
+    assert pull(here, there)
+    assert orders(here).domains() == ["bne"]
+
+
+def test_a_withdrawal_that_the_restored_store_lost_is_told_by_a_peer():
+    here, there = Node(1, *SERVERS), Node(2, *SERVERS)
+    here.core.store_lost = True
+    set_order(here, "bne", 41, epoch=1)
+    set_order(there, "bne", 41, epoch=1)
+    set_order(there, "bne", 60, epoch=1, withdrawn=True)
+    orders(there).replace(
+        0, builders.at(50, 2), {"bne": builders.at(41, 2)}, source="store"
+    )
+    there.core.directory.advance(builders.at(50, 2))
+    assert pull(here, there)
+    assert orders(here).domains() == []
+
+
+def test_an_order_that_a_peer_holds_is_held_here_too():
+    """Without the store, later lists of peers confirm it."""
+    here, there = Node(1, *SERVERS), Node(2, *SERVERS)
+    here.core.store_lost = True
+    set_order(there, "bne", 60, epoch=1, withdrawn=True)
+    orders(there).replace(
+        0, builders.at(50, 2), {"bne": builders.at(41, 2)}, source="store"
+    )
+    there.core.directory.advance(builders.at(50, 2))
+    assert pull(here, there)
+    assert orders(here).domains() == []
+    advance(there, 51, epoch=2)
+    assert pull(here, there, 60_000)
+    assert orders(here).domains() == ["bne"]
+
+
+def test_a_process_that_starts_without_the_store_takes_the_orders():
+    """All machines lost power during an evacuation, the store is down."""
+    fresh = [Node(1, config=None), Node(2, config=None)]
+    for node in fresh:
+        node.core.record_store_failure()
+        assert not builders.forwards(builders.Flow(node.core).syn(0))
+    assert not pull(fresh[0], fresh[1])
+    informed = Node(3, *SERVERS, builders.server_entry(3, failure_domain="s"))
+    set_order(informed, "bne", 41)
+    assert pull(fresh[0], informed)
+    assert pull(fresh[1], fresh[0])
+    for node in fresh:
+        out = builders.Flow(node.core, client_port=7).syn(100)
+        assert {item.token for item in builders.forwards(out)} == {3}
+
+
+def without_orders(node):
+    """Return a snapshot as the version before the orders sends it."""
+    snapshot = msgspec.msgpack.decode(node.peers.encode_snapshot())
+    del snapshot["evacuations"]
+    return msgspec.msgpack.encode(snapshot)
+
+
+def test_the_snapshot_of_a_version_without_orders_changes_none():
+    """A missing field means "not told", never "none"."""
+    here, old = Node(1, *SERVERS), Node(2, *SERVERS)
+    set_order(here, "bne", 41)
+    advance(old, 60)
+    assert here.peers.apply_snapshot(0, without_orders(old))
+    assert orders(here).domains() == ["bne"]
+    assert here.core.directory.position == builders.at(60)
+    assert orders(here).position == builders.at(41)
+
+
+def test_orders_that_an_old_version_did_not_tell_come_from_a_new_one():
+    """Old and new versions run side by side, the store is down."""
+    fresh, old, new = Node(1, config=None), Node(2, *SERVERS), Node(3)
+    fresh.core.record_store_failure()
+    for node in (old, new):
+        advance(node, 60)
+    orders(new).order(0, "bne", builders.at(41), source="store")
+    assert fresh.receive_beacon(0, old).pull
+    assert fresh.peers.apply_snapshot(0, without_orders(old))
+    assert pull(fresh, new, 600)
+    assert orders(fresh).domains() == ["bne"]
+    assert not fresh.receive_beacon(60_000, new).pull
+
+
+def test_missing_orders_do_not_fetch_snapshots_of_an_old_version_often():
+    """Each is about 25 KB, and a process may send 4 KB/s."""
+    fresh, old = Node(1, config=None), Node(2, *SERVERS)
+    fresh.core.record_store_failure()
+    advance(old, 60)
+    fetched = 0
+    for now_ms in range(0, 30_000, 200):
+        if fresh.receive_beacon(now_ms, old).pull:
+            fetched += 1
+            fresh.peers.apply_snapshot(now_ms, without_orders(old))
+    assert fetched <= 1 + 30_000 / peers_lib.ORDERS_PULL_INTERVAL_MS
+
+
+def test_a_version_without_orders_reads_the_snapshot():
+    class OldSnapshot(msgspec.Struct, frozen=True):
+        routes: routes.RouteTable | None
+        revision: int
+        servers: list
+        removed: list
+        epoch: int = 0
+
+    node = Node(1, *SERVERS)
+    set_order(node, "bne", 41)
+    old = msgspec.msgpack.decode(
+        node.peers.encode_snapshot(), type=OldSnapshot
+    )
+    assert old.revision == 41 and len(old.servers) == 2
+
+
 def test_a_peer_that_stays_ahead_is_pulled_although_the_store_answers():
     """A watch may hang without an error."""
     here, ahead = Node(1, *SERVERS), Node(2, *SERVERS)
--- a/tests/flow/test_settings.py
+++ b/tests/flow/test_settings.py
@@ -9,7 +9,7 @@
 NOWHERE = address_lib.Address("127.0.0.1", 1)
 
 
-def make_intervals(change_ms, contact_ms):
+def make_intervals(change_ms, contact_ms, evacuation_ms=60_000):
     return settings.intervals_of(
         settings.FlowSettings(
             name="front-1",
@@ -26,6 +26,7 @@
             longest_flow_ms=60_000,
             report_interval_ms=1200,
             metrics_port=1,
+            evacuation_ms=evacuation_ms,
         )
     )
 
@@ -62,3 +63,10 @@
     assert 0 < intervals.coalesce_ms <= change_ms / 3
     assert intervals.coalesce_ms + intervals.lag_tolerance_ms < change_ms
     assert intervals.watch_wait_ms > 0
+
+
+def test_a_short_bound_of_evacuations_shortens_the_intervals():
+    """Orders arrive with the changes that are coalesced."""
+    intervals = make_intervals(3000, 4000, evacuation_ms=900)
+    assert intervals.coalesce_ms == 300
+    assert intervals.lag_tolerance_ms == 450
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -132,3 +132,45 @@
     value = {**CONFIG, "routes": [{**CONFIG["routes"][0], **change}]}
     with pytest.raises(errors.ConfigError):
         RECORDS.decode_config(json.dumps(value).encode())
+
+
+@pytest.mark.parametrize(
+    ("request_type", "idempotent"),
+    [
+        ("safe", True),
+        ("download", True),
+        ("unsafe", False),
+        ("upload", False),
+        ("stream", False),
+    ],
+)
+def test_only_known_types_are_idempotent(request_type, idempotent):
+    """Requests of an unknown type may not run twice."""
+    config = json.loads(json.dumps(CONFIG))
+    config["routes"][0]["type"] = request_type
+    table = RECORDS.decode_config(json.dumps(config).encode())
+    assert table.find(0xC6120001, 8080).idempotent is idempotent
+
+
+def test_an_unknown_type_is_logged_once():
+    """Configurations are read again and again."""
+    lines = []
+    decoder = records.PlatformRecordDecoder(
+        log_event=lambda event, **fields: lines.append((event, fields))
+    )
+    config = json.loads(json.dumps(CONFIG))
+    for request_type in ("stream", "stream", "batch", "download"):
+        config["routes"][0]["type"] = request_type
+        decoder.decode_config(json.dumps(config).encode())
+    assert lines == [
+        ("request_type_unknown", {"type": "stream"}),
+        ("request_type_unknown", {"type": "batch"}),
+    ]
+
+
+def test_orders_name_a_failure_domain():
+    assert RECORDS.is_evacuation("op/evacuate/qld-bne")
+    assert RECORDS.evacuated_domain("op/evacuate/qld-bne") == "qld-bne"
+    assert RECORDS.evacuated_domain("op/evacuate/") == ""
+    assert not RECORDS.is_evacuation("op/config")
+    assert not RECORDS.is_evacuation("servers/op/evacuate/x")
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -53,9 +53,11 @@
         tmp_path,
         TOML.replace("config_apply_ms = 3000", "config_apply_ms = 900")
         .replace("max_flow_s = 60", "max_flow_s = 2.5\ncontact_ms = 1500")
-        .replace("grace_s = 6", ""),
+        .replace("grace_s = 6", "evacuation_ms = 1200"),
     )
     assert loaded.change_ms == 900
+    assert loaded.evacuation_ms == 1200
+    assert load(tmp_path, TOML).evacuation_ms == 5000
     assert loaded.contact_ms == 1500
     assert loaded.longest_flow_ms == 2500
     assert loaded.stop_ms == 6000
--- a/tests/platform/test_store_follower.py
+++ b/tests/platform/test_store_follower.py
@@ -5,6 +5,8 @@
 import random
 import time
 
+import pytest
+
 from cyclamenridge import clock as clock_lib
 import cyclamenridge.errors as errors
 from cyclamenridge.platform import records
@@ -283,3 +285,162 @@
             )
 
     asyncio.run(run())
+
+
+ORDER_KEY = "op/evacuate/bne"
+
+
+def state_with_order(revision, epoch=0, value=b"{}"):
+    order = store_port.KeyValue(ORDER_KEY, value, revision - 1)
+    entries = (*state_at(revision).entries, order)
+    return store_port.RangeResult(revision, entries, epoch)
+
+
+def order_change(revision, value=b"{}"):
+    return store_port.Change(ORDER_KEY, value, revision)
+
+
+def ready(core):
+    return len(core.directory.ready_servers("counter"))
+
+
+def test_orders_are_read_and_watched():
+    async def run():
+        store = ScriptedStore(state_with_order(5))
+        async with running_follower(store) as (core, updates):
+            store.batches.put_nowait(
+                store_port.WatchBatch(6, (order_change(6, None),))
+            )
+            await waiting.until(lambda: updates == [1])
+            store.batches.put_nowait(
+                store_port.WatchBatch(7, (order_change(7),))
+            )
+            await waiting.until(lambda: updates == [1, 0])
+            assert core.directory.evacuations.position == builders.at(7)
+
+    asyncio.run(run())
+
+
+def test_an_order_after_a_stale_read_binds_before_the_process_serves():
+    """A restarted process opened flows in an evacuated domain."""
+
+    async def run():
+        store = ScriptedStore(state_at(5))
+        async with running_follower(store) as (_, updates):
+            store.batches.put_nowait(
+                store_port.WatchBatch(6, (order_change(6),))
+            )
+            await waiting.until(lambda: updates)
+            assert updates == [0]
+            assert store.stale_reads == 1
+
+    asyncio.run(run())
+
+
+def test_the_value_of_an_order_does_not_matter():
+    async def run():
+        store = ScriptedStore(state_with_order(5, value=b"\xff"))
+        async with running_follower(store) as (core, _):
+            await asyncio.sleep(0.05)
+            assert core.directory.evacuations.domains() == ["bne"]
+            store.batches.put_nowait(
+                store_port.WatchBatch(6, (order_change(6, b""),))
+            )
+            await asyncio.sleep(0.05)
+            assert core.directory.evacuations.domains() == ["bne"]
+            assert core.counters["entries_refused"] == 0
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("is_ordered", [False, True])
+def test_changes_of_orders_in_a_gap_of_the_watch_take_effect(is_ordered):
+    async def run():
+        states = [state_with_order(5), state_at(9)]
+        if is_ordered:
+            states = [state_at(5), state_with_order(9)]
+        store = ScriptedStore(*states)
+        async with running_follower(store) as (core, _):
+            await asyncio.sleep(0.05)
+            assert ready(core) == is_ordered
+            store.batches.put_nowait(store_port.WatchLostError("compacted"))
+            await waiting.until(lambda: ready(core) != is_ordered)
+
+    asyncio.run(run())
+
+
+def test_an_order_stays_in_force_while_the_store_is_silent():
+    async def run():
+        store = ScriptedStore(state_at(5))
+        async with running_follower(store) as (core, _):
+            store.batches.put_nowait(
+                store_port.WatchBatch(6, (order_change(6),))
+            )
+            store.batches.put_nowait(errors.StoreUnavailableError("down"))
+            await waiting.until(lambda: core.store_lost)
+            assert ready(core) == 0
+
+    asyncio.run(run())
+
+
+class RecordingStore(ScriptedStore):
+    """Scripted store.
+
+    :ivar starts: first revisions of the watches
+    """
+
+    def __init__(self, *reads):
+        super().__init__(*reads)
+        self.starts = []
+
+    def watch(self, key, *, start_revision, prefix=False, epoch=0):
+        self.starts.append(start_revision)
+        return super().watch(
+            key, start_revision=start_revision, prefix=prefix, epoch=epoch
+        )
+
+
+def test_the_watch_brings_orders_that_a_snapshot_did_not_tell():
+    """A peer of an older version tells of servers and not of orders."""
+
+    async def run():
+        store = RecordingStore(state_at(5))
+        async with running_follower(store) as (core, _):
+            await asyncio.sleep(0.05)
+            core.directory.replace(
+                0, builders.at(30), [server.entry for server in core.directory]
+            )
+            store.batches.put_nowait(errors.StoreUnavailableError("cut"))
+            await waiting.until(lambda: len(store.starts) == 2)
+            assert store.starts == [6, 6]
+            store.batches.put_nowait(
+                store_port.WatchBatch(30, (order_change(20),))
+            )
+            await waiting.until(lambda: ready(core) == 0)
+
+    asyncio.run(run())
+
+
+def test_an_order_in_a_restored_copy_is_confirmed_by_the_watch():
+    """It is held after a known withdrawal, then it is in force."""
+
+    async def run():
+        clock = clock_lib.ManualClock(1000)
+        store = ScriptedStore(
+            state_with_order(5, epoch=1), state_with_order(5, epoch=2)
+        )
+        async with running_follower(store, clock) as (core, _):
+            store.batches.put_nowait(
+                store_port.WatchBatch(6, (order_change(6, None),), 1)
+            )
+            store.batches.put_nowait(store_port.WatchLostError("restored"))
+            await waiting.until(lambda: len(store.read_times) == 2)
+            await asyncio.sleep(0.05)
+            assert ready(core) == 1
+            for _ in range(70):
+                core.reachability.record_activity(clock.advance(100))
+            store.batches.put_nowait(store_port.WatchBatch(5, (), 2))
+            store.batches.put_nowait(store_port.WatchBatch(5, (), 2))
+            await waiting.until(lambda: ready(core) == 0)
+
+    asyncio.run(run())
