Leave requests at closed servers out of the window

Cause: the slots of evacuated, draining and removed servers do not count, but requests in progress there did, here and in the sum of the peers. New flows waited for answers that free no slot. A SYN that was reset because no server was left opened a flow when its copy arrived after a server had returned, although the reset had promised that it does not run. One that had waited for 200 ms was reset although another balancer may have forwarded its retransmission.

Change: the refresh of a window names the servers that accept no new flows. Requests there are not counted. A reset without a server is remembered and is only sent before the client's first retransmission.

--- a/src/cyclamenridge/adapters/exposition.py
+++ b/src/cyclamenridge/adapters/exposition.py
@@ -15,17 +15,26 @@
 def render(
     *,
     counters: Mapping[str, int],
+    domain_counters: Mapping[str, Mapping[str, int]],
     gauges: Mapping[str, float],
     latencies: Mapping[str, latency.LatencyHistogram],
 ) -> bytes:
     """Render all metrics.
 
+    :param domain_counters: counters by metric name and failure domain
     :param latencies: histograms by metric name without the unit
     """
     lines: list[str] = []
     for name, count in sorted(counters.items()):
         metric = f"{_PREFIX}{name}_total"
         lines += [f"# TYPE {metric} counter", f"{metric} {count}"]
+    for name, by_domain in sorted(domain_counters.items()):
+        metric = f"{_PREFIX}{name}_total"
+        lines.append(f"# TYPE {metric} counter")
+        lines += [
+            f'{metric}{{failure_domain="{_escape(domain)}"}} {count}'
+            for domain, count in sorted(by_domain.items())
+        ]
     for name, value in sorted(gauges.items()):
         metric = _PREFIX + name
         lines += [f"# TYPE {metric} gauge", f"{metric} {value:g}"]
@@ -34,6 +43,11 @@
     return "\n".join([*lines, ""]).encode()
 
 
+def _escape(value: str) -> str:
+    """Escape the value of a label."""
+    return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+
+
 def _histogram(metric: str, hist: latency.LatencyHistogram) -> list[str]:
     lines = [f"# TYPE {metric} histogram"]
     total = 0
--- a/src/cyclamenridge/cli/explain.py
+++ b/src/cyclamenridge/cli/explain.py
@@ -28,8 +28,14 @@
         "settings_read",
         "settings_refused",
         "lines_left_out",
+        "evacuation_held",
+        "evacuation_unknown_domain",
+        "evacuation_without_domain",
     }
 )
+# These show state that lasts longer. The last one of each failure domain
+# before that time is included as well.
+_ORDER_EVENTS = frozenset({"evacuation_ordered", "evacuation_withdrawn"})
 
 
 def explain(
@@ -80,9 +86,22 @@
         if line["node"] in nodes
         and start_s <= line["time"] <= end_s
         and "flow" not in line
-        and (line["event"] in _CONTEXT_EVENTS or line.get("server") in servers)
+        and (
+            line["event"] in _CONTEXT_EVENTS | _ORDER_EVENTS
+            or line.get("server") in servers
+        )
     ]
-    return sorted([*flow_lines, *context], key=lambda line: line["time"])
+    earlier_orders = {
+        (line["node"], line.get("domain")): line
+        for line in sorted(lines, key=lambda line: line["time"])
+        if line["node"] in nodes
+        and line["time"] < start_s
+        and line["event"] in _ORDER_EVENTS
+    }
+    return sorted(
+        [*flow_lines, *context, *earlier_orders.values()],
+        key=lambda line: line["time"],
+    )
 
 
 def _read_log(path: pathlib.Path) -> list[dict[str, Any]]:
--- a/src/cyclamenridge/flow/admission.py
+++ b/src/cyclamenridge/flow/admission.py
@@ -199,13 +199,17 @@
         slots = self._directory.ready_slots(service)
         silent_slots = 0
         peer_requests = 0.0
+        closed = set()
         for name, stats in self._server_stats.items():
             server = self._directory.get(name)
             if server is None or server.entry.service != service:
                 continue
-            if not stats.is_silent(now_ms):
+            if not self._directory.is_ready(server):
+                # Its slots do not count, so its requests must not either.
+                closed.add(name)
+            elif not stats.is_silent(now_ms):
                 peer_requests += stats.peer_pending
-            elif self._directory.is_ready(server):
+            else:
                 silent_slots += server.entry.slots
         if silent_slots < slots:
             slots -= silent_slots
@@ -218,4 +222,5 @@
                 else peer_requests * self.peer_scale
             ),
             balancers=self.balancers,
+            closed=frozenset(closed),
         )
--- a/src/cyclamenridge/flow/opening.py
+++ b/src/cyclamenridge/flow/opening.py
@@ -210,7 +210,15 @@
             service=service,
             store_revision=self._directory.position.revision,
         )
-        return effects.RESET if rec.is_unsent() else effects.DROP
+        # Another balancer may have forwarded a retransmission meanwhile.
+        if (
+            not rec.is_unsent()
+            or now_ms - rec.opened_ms >= SYN_RETRANSMISSION_MS
+        ):
+            return effects.DROP
+        # A copy of this SYN must not open the flow after the reset.
+        rec.is_refused = True
+        return effects.RESET
 
     def refuse_opening(
         self,
@@ -263,6 +271,9 @@
         out: effects.Effects = ()
         for server in chosen:
             rec.tried_servers.append(server)
+            self._server_stats.opened_by_domain[
+                server.entry.failure_domain
+            ] += 1
             self._log.flow_opening(
                 now_ms,
                 packet,
--- a/src/cyclamenridge/flow/server_stats.py
+++ b/src/cyclamenridge/flow/server_stats.py
@@ -109,9 +109,13 @@
 
 
 class ServerStatsTable:
-    """Statistics by server name."""
+    """Statistics by server name.
+
+    :ivar opened_by_domain: SYNs that were sent to servers, by failure domain
+    """
 
     def __init__(self) -> None:
+        self.opened_by_domain: collections.Counter[str] = collections.Counter()
         self._servers: dict[str, ServerStats] = collections.defaultdict(
             ServerStats
         )
--- a/src/cyclamenridge/flow/service_window.py
+++ b/src/cyclamenridge/flow/service_window.py
@@ -98,6 +98,7 @@
         self._counted_ms = 0
         self._started: list[Started] = []
         self._by_server: collections.Counter[str] = collections.Counter()
+        self._closed: frozenset[str] = frozenset()
         # Mean answer time as a part of the target latency.
         self._answer_part = 0.0
         self._handshakes = _MeanLatency(INITIAL_HANDSHAKE_MS)
@@ -117,6 +118,7 @@
         slots: int,
         peer_requests: float | None,
         balancers: int,
+        closed: frozenset[str] = frozenset(),
     ) -> None:
         """Update the limit, and drop overdue requests from the count.
 
@@ -126,7 +128,10 @@
         :param slots: slots of the service's servers
         :param peer_requests: requests in progress at other balancers, None if
             no beacon tells of them
+        :param closed: servers that accept no new flows; requests there are
+            not counted
         """
+        self._closed = closed
         self._refreshed_ms = now_ms
         self._adapt_to_answers()
         total = self.per_slot * slots
@@ -195,7 +200,9 @@
             if now_ms - item.started_ms < latency.overdue_ms:
                 remaining.append(item)
         self._started = remaining
-        self.in_progress = len(remaining)
+        self.in_progress = sum(
+            item.server not in self._closed for item in remaining
+        )
         self._by_server = collections.Counter(
             item.server for item in remaining
         )
@@ -221,7 +228,7 @@
         item = Started(now_ms, server=server, is_syn=is_syn, aim_ms=aim_ms)
         self._started.append(item)
         self._by_server[server] += 1
-        self.in_progress += 1
+        self.in_progress += server not in self._closed
         return item
 
     def record_end(
@@ -229,7 +236,8 @@
     ) -> None:
         """Count the end of a request."""
         item.is_ended = True
-        self.in_progress = max(0, self.in_progress - 1)
+        if item.server not in self._closed:
+            self.in_progress = max(0, self.in_progress - 1)
         if self._by_server[item.server] > 0:
             self._by_server[item.server] -= 1
         if not answered:
--- a/src/cyclamenridge/flow_reports.py
+++ b/src/cyclamenridge/flow_reports.py
@@ -37,12 +37,18 @@
         core = self._core
         now_ms = self._clock.now_ms()
         routes = core.routes
+        evacuations = core.directory.evacuations
         return exposition.render(
             counters={
                 **core.counters,
+                "evacuation_changes": evacuations.changes,
                 "log_lines_left_out": self._log.lines_left_out,
             },
+            domain_counters={
+                "flows_opened_by_domain": core.server_stats.opened_by_domain
+            },
             gauges={
+                "domains_evacuated": len(evacuations.domains()),
                 "flows": core.flow_count,
                 "peers": len(self._peers),
                 "servers": len(core.directory),
@@ -72,6 +78,7 @@
                 "address": str(entry.address),
                 "failure_domain": entry.failure_domain,
                 "state": entry.state.value,
+                "accepts_flows": core.directory.is_ready(server),
                 "slots": entry.slots,
                 "epoch": server.position.epoch,
                 "revision": server.position.revision,
@@ -96,6 +103,30 @@
                 "store_heard_ms_ago": now_ms - core.last_store_answer_ms,
                 "flows": core.flow_count,
                 "peers": self._peers.names(),
+                "evacuations": self._evacuations(now_ms),
                 "servers": servers,
             }
         )
+
+    def _evacuations(self, now_ms: int) -> dict[str, dict[str, object]]:
+        """Return the orders, with what is left in each failure domain."""
+        core = self._core
+        section = core.directory.evacuations.dump(now_ms)
+        for domain, fields in section.items():
+            servers = [
+                server
+                for server in core.directory
+                if server.entry.failure_domain == domain
+            ]
+            stats = [
+                core.server_stats.for_server(server.entry.name)
+                for server in servers
+            ]
+            fields["servers"] = len(servers)
+            fields["flows"] = sum(item.open_flows for item in stats)
+            fields["waiting"] = sum(item.pending for item in stats)
+            fields["waiting_elsewhere"] = round(
+                sum(item.peer_pending for item in stats), 1
+            )
+            fields["flows_opened"] = core.server_stats.opened_by_domain[domain]
+        return section
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -62,6 +62,25 @@
     ]
 
 
+def test_orders_in_force_are_printed_however_old_they_are(tmp_path):
+    """Why a domain got no flows is often decided minutes before a flow."""
+    log = write_log(
+        tmp_path / "one.log",
+        log_line(10.0, "evacuation_ordered", domain="bne", source="store"),
+        log_line(20.0, "evacuation_withdrawn", domain="bne", source="peer"),
+        log_line(30.0, "evacuation_ordered", domain="syd", source="store"),
+        log_line(31.0, "evacuation_ordered", "front-2", domain="syd"),
+        log_line(98.0, "evacuation_held", domain="bne"),
+        log_line(99.0, "evacuation_ordered", domain="bne", source="store"),
+        log_line(99.5, "evacuation_unknown_domain", domain="bne"),
+        log_line(100.0, "flow_opening", flow=FLOW, server="i-1", copy=0),
+        log_line(200.0, "evacuation_withdrawn", domain="syd", source="store"),
+    )
+    result = RUNNER.invoke(run.app, ["explain", log, "--flow", FLOW, "--json"])
+    times = [json.loads(text)["time"] for text in result.stdout.splitlines()]
+    assert times == [20.0, 30.0, 98.0, 99.0, 99.5, 100.0]
+
+
 def test_a_flow_without_log_lines_is_an_error(tmp_path):
     log = write_log(tmp_path / "one.log", log_line(1.0, "started"))
     result = RUNNER.invoke(run.app, ["explain", log, "--flow", "1.2.3.4:5"])
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -2,6 +2,7 @@
 import pytest
 
 from cyclamenridge.flow import admission
+from cyclamenridge.flow import directory
 from cyclamenridge.flow import effects
 from cyclamenridge.flow import packet as packet_lib
 from cyclamenridge.flow import routes
@@ -191,6 +192,107 @@
     assert builders.forwards(dict(released(core, 100))[1])
 
 
+def close_by_evacuation(core, entry):
+    core.directory.evacuations.order(
+        10, entry.failure_domain, builders.at(500), source="store"
+    )
+
+
+def close_by_drain(core, entry):
+    core.directory.put(
+        10,
+        msgspec.structs.replace(
+            entry, state=directory.ServerState.DRAINING, revision=500
+        ),
+    )
+
+
+def close_by_removal(core, entry):
+    core.directory.remove(10, entry.name, builders.at(500))
+
+
+@pytest.mark.parametrize(
+    "close", [close_by_evacuation, close_by_drain, close_by_removal]
+)
+def test_requests_at_servers_without_new_flows_take_no_slot(close):
+    """Their slots do not count, so that others waited for their answers.
+
+    Peers announce these requests as well.
+    """
+    closed = msgspec.structs.replace(SERVERS[0], failure_domain="syd")
+    core = builders.make_core(closed, *SERVERS[1:])
+    window = core.admission.window("counter")
+    core.admission.can_start(0, "counter", None, is_preferred=True)
+    items = [
+        window.record_start(0, server=closed.name, is_syn=False, aim_ms=150)
+        for _ in range(20)
+    ]
+    core.server_stats.for_server(closed.name).peer_pending = 50.0
+    core.admission.balancers = 2
+    assert not core.admission.can_start(1, "counter", None, is_preferred=True)
+    close(core, closed)
+    for now_ms in range(150, 5000, 100):
+        items.append(
+            window.record_start(
+                now_ms, server=closed.name, is_syn=False, aim_ms=150
+            )
+        )
+        assert core.admission.can_start(
+            now_ms, "counter", None, is_preferred=True
+        )
+        assert window.in_progress == 0
+    open_item = window.record_start(
+        5000, server=SERVERS[1].name, is_syn=False, aim_ms=150
+    )
+    for item in items:
+        window.record_end(5001, item, answered=True)
+    assert window.in_progress == 1
+    window.record_end(5002, open_item, answered=True)
+    assert window.in_progress == 0
+    # The even part of the two other servers, and what peers leave unused.
+    assert window.limit > window.per_slot * 4 / core.admission.balancers
+
+
+def test_requests_count_again_when_an_order_is_withdrawn():
+    closed = msgspec.structs.replace(SERVERS[0], failure_domain="syd")
+    core = builders.make_core(closed, *SERVERS[1:])
+    window = core.admission.window("counter")
+    core.server_stats.for_server(closed.name)
+    close_by_evacuation(core, closed)
+    core.admission.can_start(0, "counter", None, is_preferred=True)
+    for _ in range(4):
+        window.record_start(90, server=closed.name, is_syn=False, aim_ms=150)
+    assert window.in_progress == 0
+    core.directory.evacuations.withdraw(
+        95, "syd", builders.at(501), source="store"
+    )
+    core.admission.can_start(100, "counter", None, is_preferred=True)
+    assert window.in_progress == 4
+
+
+def test_a_syn_that_was_reset_without_a_server_stays_refused():
+    """The reset promised that the request does not run."""
+    entry = msgspec.structs.replace(SERVERS[0], failure_domain="syd")
+    core = builders.make_core(entry)
+    close_by_evacuation(core, entry)
+    flow = builders.Flow(core)
+    assert flow.syn(20) == effects.RESET
+    core.directory.evacuations.withdraw(
+        30, "syd", builders.at(501), source="store"
+    )
+    assert flow.syn(40, retransmission=1) == effects.RESET
+
+
+def test_a_syn_that_waited_too_long_is_not_reset_without_a_server():
+    """Another balancer may have forwarded the client's retransmission."""
+    core = builders.make_core(*SERVERS)
+    fill(core)
+    flow = builders.Flow(core, client_port=1)
+    assert flow.syn(0) == effects.DROP
+    close_by_evacuation(core, SERVERS[0])
+    assert dict(released(core, 250))[1] == effects.DROP
+
+
 @pytest.mark.parametrize("copy", [0, 1])
 def test_a_syn_without_any_server_is_reset_only_if_it_was_not_sent(copy):
     core = builders.make_core(*SERVERS)
