--- a/src/cyclamenridge/flow/admission.py
+++ b/src/cyclamenridge/flow/admission.py
@@ -209,14 +209,15 @@
     ) -> None:
         slots = self._directory.ready_slots(service)
         silent_slots = 0
+        closed = set()
         for name, stats in self._server_stats.items():
             server = self._directory.get(name)
-            if (
-                server is not None
-                and server.entry.service == service
-                and stats.is_silent(now_ms)
-                and self._directory.is_ready(server)
-            ):
+            if server is None or server.entry.service != service:
+                continue
+            if not self._directory.is_ready(server):
+                # Its slots do not count, so its requests must not either.
+                closed.add(name)
+            elif stats.is_silent(now_ms):
                 silent_slots += server.entry.slots
         if silent_slots < slots:
             slots -= silent_slots
@@ -227,4 +228,5 @@
                 now_ms, service, peers=self.balancers - 1
             ),
             balancers=self.balancers,
+            closed=frozenset(closed),
         )
--- a/src/cyclamenridge/flow/service_window.py
+++ b/src/cyclamenridge/flow/service_window.py
@@ -121,6 +121,7 @@
         self._by_server: collections.Counter[str] = collections.Counter()
         # Times at which answers of a single packet were acknowledged.
         self._delayed_acks: collections.deque[int] = collections.deque()
+        self._closed: frozenset[str] = frozenset()
         # Mean answer time as a part of the target latency.
         self._answer_part = 0.0
         # Refused requests as a part of those that were answered or refused.
@@ -147,6 +148,7 @@
         slots: int,
         peer_demand: float | None,
         balancers: int,
+        closed: frozenset[str] = frozenset(),
     ) -> None:
         """Update the limit, and drop overdue requests from the count.
 
@@ -156,7 +158,10 @@
         :param slots: slots of the service's servers
         :param peer_demand: requests in progress and waiting at other
             balancers, None if no beacon tells of them
+        :param closed: servers that accept no new flows; requests there are
+            not counted
         """
+        self._closed = closed
         self._refreshed_ms = now_ms
         self._drop_overdue(now_ms)
         self._adapt_to_answers()
@@ -260,7 +265,9 @@
             if now_ms - item.started_ms < latency.overdue_ms:
                 remaining.append(item)
         self._started = remaining
-        self.in_progress = len(remaining)
+        self.in_progress = sum(
+            item.server not in self._closed for item in remaining
+        )
         self._by_server = collections.Counter(
             item.server for item in remaining
         )
@@ -286,7 +293,7 @@
         item = Started(now_ms, server=server, is_syn=is_syn, aim_ms=aim_ms)
         self._started.append(item)
         self._by_server[server] += 1
-        self.in_progress += 1
+        self.in_progress += server not in self._closed
         return item
 
     def record_end(
@@ -301,7 +308,8 @@
         :param answer: what the server answered, None if it is not known
         """
         item.is_ended = True
-        self.in_progress = max(0, self.in_progress - 1)
+        if item.server not in self._closed:
+            self.in_progress = max(0, self.in_progress - 1)
         if self._by_server[item.server] > 0:
             self._by_server[item.server] -= 1
         if answer is None:
