Limit new flows to cold servers over all balancers together

Cause: warmup_s and warmup_per_s of a service were not decoded, so that at a rate of 3 a second servers that had just started got 10 and 11 requests in a second, where 9.5 are allowed. Directory._set kept the earlier end of a warm-up while born stayed the same, so that a server that turned cold again after an evacuation counted as warm.

Change: flow/warmup.py decides without asking other balancers. Rendezvous hashing over the balancers of the server's domain selects who may send, half of the allowance is shared in whole flows per 1,200 ms, and a process that started or hears nobody sends nothing to cold servers. Members come from beacons and the members named in them. A SYN for which only cold servers without allowance are left waits as when no slot is free, and is then reset or dropped.

Result: test_a_later_warm_up_of_an_incarnation_counts failed with the old _set. tests/flow and tests/platform without test_load.py and the simulation passed.

--- a/src/cyclamenridge/compose_flows.py
+++ b/src/cyclamenridge/compose_flows.py
@@ -47,6 +47,9 @@
         rng=rng,
         log=log,
     )
+    core.warmup.set_bounds(
+        overage=settings.warmup_overage, slack=settings.warmup_slack
+    )
     application = flow_app.FlowApplication(
         core,
         settings=settings,
@@ -113,6 +116,9 @@
     def apply(loaded: settings_lib.FlowSettings) -> None:
         application.set_settings(loaded)
         peers.set_seeds(tuple(seed.host for seed in loaded.seeds))
+        core.warmup.set_bounds(
+            overage=loaded.warmup_overage, slack=loaded.warmup_slack
+        )
 
     settings_watcher = settings_watcher_lib.SettingsWatcher(
         path, settings, load=settings_file.load, apply=apply, log=log
--- a/src/cyclamenridge/flow/admission.py
+++ b/src/cyclamenridge/flow/admission.py
@@ -5,6 +5,8 @@
 refused as often as others, and clients use up their tries.
 """
 
+from collections.abc import Callable
+
 from cyclamenridge.flow import directory as directory_lib
 from cyclamenridge.flow import routes
 from cyclamenridge.flow import server_stats as stats_lib
@@ -33,12 +35,19 @@
 MAX_WAITING = 2000
 
 
+def _can_always_place(now_ms: int, service: str) -> bool:
+    """Allow new flows to all services."""
+    return True
+
+
 class AdmissionControl:
     """Decides which requests start and which wait.
 
     :ivar balancers: number of balancers, this one included
     :ivar peer_scale: peers per peer whose load is known, None if no load is
     :ivar waiting_count: requests that wait, at all services
+    :ivar can_place: returns, for a time and a service, whether a new flow may
+        go to any of its servers
     """
 
     def __init__(
@@ -49,6 +58,7 @@
         self.balancers = 1
         self.peer_scale: float | None = 1.0
         self.waiting_count = 0
+        self.can_place: Callable[[int, str], bool] = _can_always_place
         self._directory = directory
         self._server_stats = server_stats
         self._windows: dict[str, service_window.ServiceWindow] = {}
@@ -132,6 +142,10 @@
         """Take a request that can start now."""
 
         def can_start(item: waiting.Waiting) -> bool:
+            if item.server is None and not self.can_place(
+                now_ms, item.service
+            ):
+                return False
             return self.can_start(
                 now_ms,
                 item.service,
--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -94,6 +94,7 @@
             rng=rng,
             log=log,
         )
+        self.warmup = self._opener.warmup
 
     @property
     def flow_count(self) -> int:
@@ -445,6 +446,7 @@
         The first request of a flow starts at once if its SYN had to wait.
         """
         is_admitted, rec.is_admitted = rec.is_admitted, False
+        self.warmup.record_request(now_ms, server, rec, is_first=is_admitted)
         entry = server.entry
         if (
             not is_admitted
--- a/src/cyclamenridge/flow/directory.py
+++ b/src/cyclamenridge/flow/directory.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import enum
 
 import msgspec
@@ -125,6 +126,17 @@
     since_ms: int
 
 
+class _AssumedWarmup(msgspec.Struct, frozen=True):
+    """Warm-up that servers of a domain are assumed to have.
+
+    :param position: store position that entries with the warm-up follow
+    :param end_ms: assumed end by service
+    """
+
+    position: Position
+    end_ms: dict[str, int]
+
+
 class Directory:
     """Servers by name and by token; older entries never replace newer ones.
 
@@ -150,6 +162,7 @@
         self._ready_slots: dict[str, int] = {}
         self._is_indexed = True
         self._held: dict[str, _Held] = {}
+        self._assumed_warmups: dict[str, _AssumedWarmup] = {}
         self._entry_hold_ms = (
             REGISTRATION_TIMEOUT_MS + _MAX_MISSED_REPORTS * report_interval_ms
         )
@@ -212,12 +225,7 @@
     def _set(self, now_ms: int, entry: ServerEntry) -> None:
         server = self._servers.get(entry.name)
         fresh = Server(entry, now_ms)
-        if server is not None and server.entry.born_ms == entry.born_ms:
-            # Servers report the remaining warm-up once, at their start, and
-            # repeat the value in later entries.
-            fresh.warmup_end_ms = min(
-                fresh.warmup_end_ms, server.warmup_end_ms
-            )
+        fresh.warmup_end_ms = self._warmup_end_ms(now_ms, server, entry)
         self._servers[entry.name] = fresh
         holder = self._by_token.get(fresh.token)
         if (
@@ -229,6 +237,70 @@
         self._is_indexed = False
         self._held.pop(entry.name, None)
 
+    def _warmup_end_ms(
+        self, now_ms: int, server: Server | None, entry: ServerEntry
+    ) -> int:
+        """Return the end of a server's warm-up with a newer entry.
+
+        :param server: the server with its last entry, if any
+        """
+        end_ms = now_ms + entry.warmup_ms
+        assumed = self._assumed_warmups.get(entry.failure_domain)
+        is_first_report = False
+        if assumed is not None:
+            if entry.position <= assumed.position:
+                known_ms = 0 if server is None else server.warmup_end_ms
+                assumed_ms = assumed.end_ms.get(entry.service, 0)
+                return max(end_ms, known_ms, assumed_ms)
+            is_first_report = (
+                server is not None and server.position <= assumed.position
+            )
+        if (
+            server is not None
+            and not is_first_report
+            and server.entry.born_ms == entry.born_ms
+            and server.entry.warmup_ms == entry.warmup_ms
+            and now_ms < server.warmup_end_ms
+        ):
+            # A change of another field repeats the value of the last report.
+            return server.warmup_end_ms
+        return end_ms
+
+    def assume_cold(
+        self,
+        now_ms: int,
+        failure_domain: str,
+        position: Position,
+        durations_ms: Mapping[str, int],
+    ) -> None:
+        """Count the servers of a domain as cold until they report it.
+
+        Entries up to ``position`` may only extend the warm-up, later ones set
+        its end anew.
+
+        :param durations_ms: warm-up by service
+        """
+        known = self._assumed_warmups.get(failure_domain)
+        if known is not None and known.position >= position:
+            return
+        assumed = _AssumedWarmup(
+            position,
+            {
+                service: now_ms + duration_ms
+                for service, duration_ms in durations_ms.items()
+            },
+        )
+        self._assumed_warmups[failure_domain] = assumed
+        for server in self._servers.values():
+            entry = server.entry
+            if (
+                entry.failure_domain == failure_domain
+                and server.position <= position
+            ):
+                server.warmup_end_ms = max(
+                    server.warmup_end_ms, assumed.end_ms.get(entry.service, 0)
+                )
+
     def remove(self, now_ms: int, name: str, position: Position) -> bool:
         """Mark a server as removed; return whether that changed its state."""
         server = self._servers.get(name)
--- a/src/cyclamenridge/flow/opening.py
+++ b/src/cyclamenridge/flow/opening.py
@@ -16,6 +16,7 @@
 from cyclamenridge.flow import server_stats as stats_lib
 from cyclamenridge.flow import tracking
 from cyclamenridge.flow import waiting
+from cyclamenridge.flow import warmup as warmup_lib
 
 # Clients retransmit a SYN for the first time after this.
 SYN_RETRANSMISSION_MS = 200
@@ -34,6 +35,7 @@
     """Places new flows, lets them wait, or refuses them.
 
     :ivar routes: routes in force, None before the first configuration
+    :ivar warmup: limits new flows to cold servers
     """
 
     def __init__(
@@ -62,11 +64,14 @@
         self._counters = counters
         self._rng = rng
         self._log = log
+        self.warmup = warmup_lib.WarmupLimiter(directory=directory, log=log)
+        admission.can_place = self.warmup.can_place
 
     def set_routes(self, table: routes_lib.RouteTable) -> None:
         """Apply the routes of a configuration."""
         self.routes = table
         self._preferred_routes = table.preferred_keys()
+        self.warmup.set_routes(table)
 
     def start_waiting(
         self, now_ms: int, item: waiting.Waiting
@@ -154,6 +159,11 @@
             self._admission.window(service).record_flow(is_foreign=False)
         if not self._directory.ready_servers(service):
             return self._refuse_without_server(now_ms, packet, rec, service)
+        if not self.warmup.can_place(now_ms, service):
+            self._counters["openings_held_for_warmup"] += 1
+            if rec.tried_servers:
+                return effects.DROP
+            return self._queue_syn(now_ms, packet, datagram, rec, service)
         if not self._reachability.is_resuming(
             now_ms
         ) and self._admission.can_start(
@@ -230,6 +240,15 @@
             or now_ms - rec.opened_ms >= SYN_RETRANSMISSION_MS
         ):
             return self.place_flow(now_ms, packet, rec, service)
+        return self._reset_syn(now_ms, packet, rec, service)
+
+    def _reset_syn(
+        self,
+        now_ms: int,
+        packet: packet_lib.Packet,
+        rec: tracking.FlowRecord,
+        service: str,
+    ) -> effects.Effects:
         self._counters["openings_refused"] += 1
         self._log.flow_event(
             now_ms,
@@ -242,6 +261,23 @@
         rec.is_refused = True
         return effects.RESET
 
+    def _refuse_for_warmup(
+        self,
+        now_ms: int,
+        packet: packet_lib.Packet,
+        rec: tracking.FlowRecord,
+        service: str,
+    ) -> effects.Effects:
+        """Refuse a SYN while only cold servers without allowance are left.
+
+        It is dropped if another balancer may have forwarded it: its client
+        sends it again, or gives up.
+        """
+        self._counters["openings_held_for_warmup"] += 1
+        if rec.is_unsent() and now_ms - rec.opened_ms < SYN_RETRANSMISSION_MS:
+            return self._reset_syn(now_ms, packet, rec, service)
+        return effects.DROP
+
     def place_flow(
         self,
         now_ms: int,
@@ -250,11 +286,17 @@
         service: str,
     ) -> effects.Effects:
         """Send a SYN to the selected servers."""
-        servers = self._placement.sample_candidates(
-            self._directory.ready_servers(service)
-        )
-        if not servers:
+        ready = self._directory.ready_servers(service)
+        if not ready:
             return self._refuse_without_server(now_ms, packet, rec, service)
+        sample = self._placement.sample_candidates(ready)
+        servers = self.warmup.allowed(now_ms, sample)
+        if not servers and len(sample) < len(ready):
+            servers = self._placement.sample_candidates(
+                self.warmup.allowed(now_ms, ready)
+            )
+        if not servers:
+            return self._refuse_for_warmup(now_ms, packet, rec, service)
         chosen = self._placement.select_servers(
             now_ms, servers, rec.tried_servers
         )
@@ -263,6 +305,7 @@
         out: effects.Effects = ()
         for server in chosen:
             rec.tried_servers.append(server)
+            self.warmup.record(now_ms, server)
             self._log.flow_opening(
                 now_ms,
                 packet,
--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -126,7 +126,8 @@
         self._host = host
         self._lag_tolerance_ms = lag_tolerance_ms
         self._rng = rng
-        self._seeds = tuple(seed for seed in seeds if seed != host)
+        self._core.warmup.members.join(host, failure_domain)
+        self.set_seeds(seeds)
         self._peers: dict[str, _Peer] = {}
         # Members named in beacons of others, which have sent none here yet.
         self._unheard_hosts: dict[str, int] = {}
@@ -142,6 +143,7 @@
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds."""
         self._seeds = tuple(seed for seed in seeds if seed != self._host)
+        self._core.warmup.members.set_seeds(self._seeds)
 
     def names(self) -> dict[str, str]:
         """Return the names of the peers by address."""
@@ -156,6 +158,7 @@
             elif peer.loads and now_ms - peer.last_beacon_ms > LOAD_TTL_MS:
                 self._replace_loads(peer, {})
         self._update_peer_scale(now_ms)
+        self._core.warmup.sweep(now_ms)
         hosts = list(self._peers)
         if len(hosts) > GOSSIP_FANOUT:
             hosts = self._rng.sample(hosts, GOSSIP_FANOUT)
@@ -232,6 +235,9 @@
         peer.failure_domain = beacon.failure_domain
         peer.last_beacon_ms = now_ms
         self._core.reachability.record_beacon(now_ms, beacon.failure_domain)
+        self._core.warmup.members.record_beacon(
+            now_ms, host, beacon.failure_domain, beacon.members[:MAX_MEMBERS]
+        )
         self._set_loads(peer, beacon.loads)
         for member in beacon.members[:MAX_MEMBERS]:
             if member != self._host and member not in self._peers:
--- a/src/cyclamenridge/flow/routes.py
+++ b/src/cyclamenridge/flow/routes.py
@@ -42,12 +42,26 @@
         )[0]
 
 
+class Warmup(msgspec.Struct, frozen=True):
+    """Warm-up of the servers of a service.
+
+    :param duration_ms: how long a server stays cold after its start
+    :param flows_per_s: new flows a second that a cold server can handle, 0
+        for no limit
+    """
+
+    duration_ms: int
+    flows_per_s: float
+
+
 class RouteTable(msgspec.Struct, frozen=True):
     """Routes of one version of the configuration.
 
     :param routes: routes by host and port
     :param idle_ms: idle timeout of flows
     :param epoch: epoch of the store that it was read in
+    :param warmups: warm-ups by service; balancers of earlier versions do not
+        send them in snapshots
     """
 
     version: int
@@ -55,6 +69,7 @@
     services: frozenset[str]
     idle_ms: int
     epoch: int = 0
+    warmups: Mapping[str, Warmup] = {}
 
     def preferred_keys(self) -> frozenset[tuple[int, int]]:
         """Return the keys of routes that precede another one of a service."""
--- a/src/cyclamenridge/flow/settings.py
+++ b/src/cyclamenridge/flow/settings.py
@@ -25,6 +25,8 @@
         effect
     :param longest_flow_ms: maximum lifetime of a flow
     :param report_interval_ms: interval at which servers report to the store
+    :param warmup_overage: factor on the rate of cold servers
+    :param warmup_slack: flows a second that a cold server may get on top
     :param metrics_port: port that serves metrics and the state dump
     """
 
@@ -42,6 +44,8 @@
     longest_flow_ms: int
     report_interval_ms: int
     metrics_port: int
+    warmup_overage: float = 1.5
+    warmup_slack: float = 5.0
 
 
 class Intervals(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/cyclamenridge/flow_reports.py
+++ b/src/cyclamenridge/flow_reports.py
@@ -86,6 +86,7 @@
                 "answered_ms_ago": stats.answered_ms_ago(now_ms),
                 "unanswered_flows": stats.unanswered_flows,
                 "silent": stats.is_silent(now_ms),
+                "warmup": core.warmup.report(now_ms, server),
             }
         return msgspec.json.encode(
             {
--- a/src/cyclamenridge/platform/records.py
+++ b/src/cyclamenridge/platform/records.py
@@ -41,6 +41,10 @@
 
 class _Service(msgspec.Struct):
     name: str
+    # How long a server stays cold after its start.
+    warmup_s: float | None = None
+    # Requests a second that a cold server can handle; 0 means no limit.
+    warmup_per_s: float | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -116,6 +120,11 @@
             services=frozenset(service.name for service in cfg.services),
             idle_ms=cfg.limits.idle_timeout_ms,
             epoch=epoch,
+            warmups={
+                service.name: _decode_warmup(service)
+                for service in cfg.services
+                if service.warmup_s or service.warmup_per_s
+            },
         )
 
     def decode_server(
@@ -153,6 +162,13 @@
         )
 
 
+def _decode_warmup(service: _Service) -> routes.Warmup:
+    return routes.Warmup(
+        duration_ms=max(0, round((service.warmup_s or 0) * 1000)),
+        flows_per_s=max(0, service.warmup_per_s or 0),
+    )
+
+
 def _decode_targets(route: _Route) -> tuple[routes.Target, ...]:
     if route.weighted_targets:
         targets = tuple(
--- a/src/cyclamenridge/platform/settings.py
+++ b/src/cyclamenridge/platform/settings.py
@@ -47,6 +47,8 @@
             "bounds.max_flow_s", 60, unit_ms=1000
         ),
         report_interval_ms=reader.milliseconds("heartbeat_ms", 1200),
+        warmup_overage=reader.number("bounds.warmup_overage", 1.5),
+        warmup_slack=reader.number("bounds.warmup_slack", 5),
         metrics_port=metrics_port,
     )
     reader.require("discovery", "platform")
@@ -127,6 +129,20 @@
         self._add_finding(name, "a number above 0")
         return 0
 
+    def number(self, name: str, default: float) -> float:
+        """Return a finite number that is not negative."""
+        value = self._get(name)
+        if value is None:
+            return default
+        if (
+            isinstance(value, int | float)
+            and not isinstance(value, bool)
+            and 0 <= value < float("inf")
+        ):
+            return float(value)
+        self._add_finding(name, "a number of at least 0")
+        return 0.0
+
     def address(self, name: str) -> address_lib.Address:
         """Return an address with a port."""
         value = self._get(name)
--- a/src/cyclamenridge/settings_watcher.py
+++ b/src/cyclamenridge/settings_watcher.py
@@ -13,7 +13,9 @@
 CHECK_INTERVAL_S = 1.0
 
 # Fields that take effect without a restart.
-_RELOADABLE_FIELDS = frozenset({"seeds", "stop_ms"})
+_RELOADABLE_FIELDS = frozenset(
+    {"seeds", "stop_ms", "warmup_overage", "warmup_slack"}
+)
 
 SettingsLoader = Callable[[str], settings_lib.FlowSettings]
 
--- a/tests/flow/test_directory.py
+++ b/tests/flow/test_directory.py
@@ -136,3 +136,32 @@
     assert len(servers.ready_servers("counter")) == 3000
     assert len(servers.listed_servers("counter")) == 3000
     assert compared == 3000
+
+
+def test_a_later_warm_up_of_an_incarnation_counts():
+    """A server turns cold again after an evacuation, without a restart.
+
+    The end of the first warm-up was kept, so that the server was taken for
+    warm. An entry that repeats the value must not extend the warm-up.
+    """
+    servers = make_directory()
+    ends = []
+    for revision, (now_ms, warmup_ms) in enumerate(
+        [
+            (0, 2000),
+            (500, 2000),
+            (3000, 0),
+            (9000, 2000),
+            (10_200, 860),
+            (10_500, 860),
+            (12_000, 860),
+            (12_100, 0),
+        ],
+        20,
+    ):
+        servers.put(
+            now_ms,
+            builders.server_entry(1, revision=revision, warmup_ms=warmup_ms),
+        )
+        ends.append(servers.get("i-00000001").warmup_end_ms)
+    assert ends == [2000, 2000, 3000, 11_000, 11_060, 11_060, 12_860, 12_100]
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -7,6 +7,7 @@
 
 from cyclamenridge import errors
 from cyclamenridge.flow import directory
+from cyclamenridge.flow import routes
 from cyclamenridge.platform import records
 
 RECORDS = records.PlatformRecordDecoder()
@@ -132,3 +133,18 @@
     value = {**CONFIG, "routes": [{**CONFIG["routes"][0], **change}]}
     with pytest.raises(errors.ConfigError):
         RECORDS.decode_config(json.dumps(value).encode())
+
+
+def test_the_warm_ups_of_services_are_decoded():
+    services = [
+        {"name": "a", "warmup_s": 2.5, "warmup_per_s": 0.5},
+        {"name": "b", "warmup_s": 2, "warmup_per_s": 0},
+        {"name": "c"},
+    ]
+    table = RECORDS.decode_config(
+        json.dumps({**CONFIG, "services": services}).encode()
+    )
+    assert table.warmups == {
+        "a": routes.Warmup(2500, 0.5),
+        "b": routes.Warmup(2000, 0),
+    }
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -44,6 +44,7 @@
     assert loaded.failure_domain == "qld-bne"
     assert loaded.stop_ms == 6000
     assert loaded.peer_ports == (7720, 7735)
+    assert (loaded.warmup_overage, loaded.warmup_slack) == (1.5, 5)
     assert [seed.port for seed in loaded.seeds] == [8166, 8166]
 
 
@@ -53,8 +54,9 @@
         tmp_path,
         TOML.replace("config_apply_ms = 3000", "config_apply_ms = 900")
         .replace("max_flow_s = 60", "max_flow_s = 2.5\ncontact_ms = 1500")
-        .replace("grace_s = 6", ""),
+        .replace("grace_s = 6", "warmup_overage = 2\nwarmup_slack = 0"),
     )
+    assert (loaded.warmup_overage, loaded.warmup_slack) == (2, 0)
     assert loaded.change_ms == 900
     assert loaded.contact_ms == 1500
     assert loaded.longest_flow_ms == 2500
@@ -75,7 +77,7 @@
 def test_all_findings_are_reported_at_once(tmp_path):
     text = (
         TOML.replace('"10.1.0.10:8172"', '"nowhere"')
-        .replace("grace_s = 6", "grace_s = -1")
+        .replace("grace_s = 6", "grace_s = -1\nwarmup_slack = -5")
         .replace('zone = "qld-bne"', "")
         .replace("[7720,7735]", "[9, 3]")
         .replace('"echo"', '"mirror"')
@@ -83,10 +85,11 @@
     with pytest.raises(errors.ConfigError) as info:
         load(tmp_path, text)
     lines = str(info.value).splitlines()
-    assert len(lines) == 5
+    assert len(lines) == 6
     for field in (
         "listen_addrs.datagram_addr",
         "bounds.grace_s",
+        "bounds.warmup_slack",
         "zone: expected a non-empty string, found nothing",
         "internal_ports",
         "forwarding_mode",
