Test the remaining guards of the limit on cold servers

Cause: with each guard of the limit taken out once, the tests passed without five of them: the time to be heard again after a partition, members of unknown domains, counting only first requests, shares that follow the members, and withdrawals that leave later entries alone.

Change: tests for them.

--- a/tests/flow/test_warmup.py
+++ b/tests/flow/test_warmup.py
@@ -324,6 +324,10 @@
     (server,) = core.directory
     assert core.warmup.report(11_310, server).sent == 4
     assert flows[4].syn(11_320) == effects.DROP
+    # Later requests of a flow are no new flows.
+    flows[0].acknowledge(11_340)
+    assert builders.forwards(flows[0].request(12_600))
+    assert core.warmup.report(12_600, server).sent == 0
 
 
 def test_a_first_request_right_after_its_syn_is_not_counted_twice():
@@ -399,19 +403,39 @@
 
 def test_members_of_unknown_domains_count_for_each_domain():
     """A member that is only named in beacons may be of the server's domain."""
-    core = make_core(cold_entry(1), cold_entry(2, failure_domain="mel"))
-    server = core.directory.get("i-00000002")
-    allowances = []
-    for named in ([], ["10.0.0.3"]):
-        members = core.warmup.members
-        members.record_beacon(5000, "10.0.0.2", "syd", named)
-        join(core.warmup, now_ms=5000)
-        members.record_beacon(10_000, "10.0.0.2", "syd", named)
-        allowances.append(core.warmup.report(10_000, server).allowance)
-        core = make_core(cold_entry(1), cold_entry(2, failure_domain="mel"))
-        server = core.directory.get("i-00000002")
-    # Half of the usual four, for two balancers, without any in the domain.
-    assert allowances == [1, 0]
+    core = make_core(cold_entry(1, failure_domain="mel"), rate=100)
+    members = core.warmup.members
+    members.record_beacon(5000, "10.0.0.2", "syd", [])
+    join(core.warmup, now_ms=5000)
+    members.record_beacon(10_000, "10.0.0.2", "syd", [])
+    # Half of the usual 77, for two balancers, without any in the domain.
+    assert share_of(core, 10_000) == 38 // 2
+    members.record_beacon(10_000, "10.0.0.2", "syd", ["10.0.0.3"])
+    assert share_of(core, 10_000) == 0
+
+
+def test_members_that_were_lost_have_time_to_be_heard_again():
+    """A partition ends for each member when its next beacon arrives.
+
+    Dropping the others as soon as half are heard again gave too few members.
+    """
+    core = make_core(cold_entry(1), rate=100)
+    members = core.warmup.members
+    hosts = [f"10.0.0.{n}" for n in range(2, 8)]
+
+    def hear(now_ms, count):
+        for host in hosts[:count]:
+            members.record_beacon(now_ms, host, "bne", [])
+        core.warmup.sweep(now_ms)
+
+    for now_ms in range(5200, 60_000, BEACON_MS):
+        hear(now_ms, 6 if now_ms < 12_000 else 1)
+    for now_ms in range(60_000, 70_000, BEACON_MS):
+        hear(now_ms, 3)
+        assert share_of(core, now_ms) == 77 // 7
+    for now_ms in range(70_000, 76_000, BEACON_MS):
+        hear(now_ms, 3)
+    assert share_of(core, 75_800) == 77 // 4
 
 
 def test_a_limited_server_is_logged_once_a_second():
@@ -435,6 +459,7 @@
     )
     servers = core.directory
     servers.put(5000, builders.server_entry(1, revision=20))
+    servers.put(5000, builders.server_entry(3, revision=55))
     core.warmup.assume_cold(6000, "bne", builders.at(50))
     # Told again by a peer.
     core.warmup.assume_cold(7000, "bne", builders.at(50))
@@ -444,6 +469,8 @@
         return servers.get("i-00000001").warmup_end_ms
 
     assert servers.get("i-00000001").warmup_end_ms == 8000
+    # Its entry was written after the withdrawal.
+    assert servers.get("i-00000003").warmup_end_ms == 5000
     assert end_after(6100, revision=30, warmup_ms=0) == 8000
     assert end_after(6200, revision=40, warmup_ms=2000) == 8200
     assert end_after(6300, revision=60, warmup_ms=2000) == 8300
