--- a/src/cyclamenridge/flow/evacuation.py
+++ b/src/cyclamenridge/flow/evacuation.py
@@ -40,6 +40,10 @@
     withdrawn: dict[str, Position]
 
 
+def _no_op(now_ms: int, domain: str, position: Position) -> None:
+    """Default callback."""
+
+
 class Evacuations:
     """Orders by failure domain; older changes never replace newer ones.
 
@@ -49,6 +53,8 @@
 
     :ivar position: store position up to which changes are applied
     :ivar changes: number of orders and withdrawals that took effect
+    :ivar on_withdrawn: called with the time, the failure domain and the
+        position of a withdrawal that took effect
     """
 
     def __init__(
@@ -66,6 +72,7 @@
         """
         self.position = Position()
         self.changes = 0
+        self.on_withdrawn: Callable[[int, str, Position], None] = _no_op
         self._hold_ms = hold_ms
         self._has_servers = has_servers
         self._log_event = log_event
@@ -289,7 +296,9 @@
             revision=position.revision,
             source=source,
         )
-        if is_in_force and not self._has_servers(domain):
+        if not is_in_force:
+            self.on_withdrawn(now_ms, domain, position)
+        elif not self._has_servers(domain):
             self._log_once(domain, "evacuation_unknown_domain")
         return True
 
--- a/tests/flow/test_evacuation.py
+++ b/tests/flow/test_evacuation.py
@@ -1,5 +1,6 @@
 """Orders to evacuate failure domains: state, restored store, effects."""
 
+import msgspec
 import pytest
 
 from cyclamenridge.flow import directory
@@ -7,6 +8,7 @@
 from cyclamenridge.flow import evacuation
 from cyclamenridge.flow import holds
 from cyclamenridge.flow import reachability
+from cyclamenridge.flow import routes
 from tests.flow import builders
 
 HOLD_MS = holds.entry_hold_ms(1200)
@@ -445,3 +447,18 @@
     order(core, "bne", 5)
     core.directory.replace(0, builders.at(40), [server(1, "bne")])
     assert ready(core) == set()
+
+
+def test_servers_count_as_cold_when_their_domain_is_taken_back():
+    """The entries that report the warm-up may be late."""
+    config = msgspec.structs.replace(
+        builders.CONFIG, warmups={"counter": routes.Warmup(2000, 1)}
+    )
+    core = builders.make_core(server(1, "bne", revision=20), config=config)
+    listed = core.directory.get("i-00000001")
+    evacuations = core.directory.evacuations
+    evacuations.order(0, "bne", builders.at(30), source="store")
+    assert not core.warmup.is_limited(100, listed)
+    evacuations.withdraw(1000, "bne", builders.at(40), source="store")
+    assert core.warmup.is_limited(2900, listed)
+    assert not core.warmup.is_limited(3000, listed)
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -7,6 +7,7 @@
 
 from cyclamenridge import errors
 from cyclamenridge.flow import directory
+from cyclamenridge.flow import routes
 from cyclamenridge.platform import records
 
 RECORDS = records.PlatformRecordDecoder()
@@ -174,3 +175,18 @@
     assert RECORDS.evacuated_domain("op/evacuate/") == ""
     assert not RECORDS.is_evacuation("op/config")
     assert not RECORDS.is_evacuation("servers/op/evacuate/x")
+
+
+def test_the_warm_ups_of_services_are_decoded():
+    services = [
+        {"name": "a", "warmup_s": 2.5, "warmup_per_s": 0.5},
+        {"name": "b", "warmup_s": 2, "warmup_per_s": 0},
+        {"name": "c"},
+    ]
+    table = RECORDS.decode_config(
+        json.dumps({**CONFIG, "services": services}).encode()
+    )
+    assert table.warmups == {
+        "a": routes.Warmup(2500, 0.5),
+        "b": routes.Warmup(2000, 0),
+    }
