--- a/tests/platform/test_requirements.py
+++ b/tests/platform/test_requirements.py
@@ -29,9 +29,10 @@
         for line in importlib.metadata.requires(name) or ():
             if "extra ==" not in line:
                 installed.add(re.match(r"[\w.-]+", line).group())
+    packages = importlib.metadata.packages_distributions()
     modules = [
         module
-        for module, names in importlib.metadata.packages_distributions().items()
+        for module, names in packages.items()
         if installed.intersection(names)
     ]
     subprocess.run(
