Extend the model of a restored store by evacuation orders

Cause: orders and withdrawals meet restores, cuts and restarts in orders that single tests do not cover.

Change: the operator of tests/flow/store_history.py orders and withdraws, and writes again within 3 s what a restore lost. A confirmed order binds every connected process within the bound on changes, and one that is cut off through its peers a second later. A withdrawal takes effect in the same time, and neither is undone while it stands.

--- a/tests/flow/store_history.py
+++ b/tests/flow/store_history.py
@@ -12,7 +12,10 @@
 
 from cyclamenridge import clock as clock_lib
 import cyclamenridge.errors as errors
+from cyclamenridge.flow import directory
+from cyclamenridge.flow import holds
 from cyclamenridge.flow import peers as peers_lib
+from cyclamenridge.flow import position as position_lib
 from cyclamenridge.platform import records
 from cyclamenridge.ports import store as store_port
 import cyclamenridge.store_follower as store_follower
@@ -30,6 +33,13 @@
 # Bounds of the installations of 5 machines.
 CONTACT_MS = 4000
 CHANGE_MS = 3000
+HOLD_MS = holds.entry_hold_ms(REPORT_INTERVAL_MS)
+# The operator writes again what a restored store lost within this time.
+MAX_WRITE_AGAIN_MS = 3000
+# Time until a process without the store has the snapshot of a peer ahead.
+PEER_MS = 1000
+# Failure domains of the servers by number; orders name others as well.
+DOMAINS = ("bne", "syd")
 # Copies that the store can be restored from.
 MAX_COPIES = 150
 
@@ -165,6 +175,7 @@
 
     def __init__(self, number, born):
         self.key = f"servers/i-{number:08x}"
+        self.domain = DOMAINS[number % len(DOMAINS)]
         self.born = born
         self.state = "ready"
         self.alive = True
@@ -177,7 +188,7 @@
             {
                 "service": "counter",
                 "address": f"10.9.0.1:{8000 + self.born % 1000}",
-                "zone": "bne",
+                "zone": self.domain,
                 "slots": 2,
                 "state": self.state,
                 "warmup_left_ms": 0,
@@ -186,12 +197,28 @@
         ).encode()
 
 
+class Order:
+    """What the operator last wanted for a failure domain.
+
+    :ivar confirmed_ms: when the store first accepted it, None before that
+    :ivar position: store position of its last write, None before that
+    :ivar told: processes that had read the epoch of that write before
+    """
+
+    def __init__(self, *, is_in_force):
+        self.is_in_force = is_in_force
+        self.confirmed_ms = None
+        self.position = None
+        self.told = []
+
+
 class Process:
     """A balancer without packets.
 
     :ivar connected_ms: since when the store and the process reach each other
     :ivar drained: (name, incarnation) of servers that it knew to drain
     :ivar was_ready: what ``ready`` returned last
+    :ivar bound_by: orders and withdrawals that it knew, by domain
     """
 
     def __init__(self, number, store, loop):
@@ -204,6 +231,7 @@
         self.version = 0
         self.drained = set()
         self.was_ready = set()
+        self.bound_by = {}
         self.peers = peers_lib.Peers(
             self.core,
             name=f"node-{number}",
@@ -225,12 +253,32 @@
         )
 
     def ready(self):
-        """Return the (name, incarnation) of servers that get new flows."""
+        """Return the (name, incarnation) of servers that are in service.
+
+        Orders to evacuate their domains are left out of account.
+        """
         return {
             (server.entry.name, server.entry.born_ms)
+            for server in self.core.directory.listed_servers("counter")
+            if server.entry.state is directory.ServerState.READY
+        }
+
+    def domains_of_new_flows(self):
+        """Return the failure domains whose servers get new flows."""
+        return {
+            server.entry.failure_domain
             for server in self.core.directory.ready_servers("counter")
         }
 
+    @property
+    def evacuations(self):
+        return self.core.directory.evacuations
+
+    def holds(self, domain):
+        """Return whether a change of a domain has to be confirmed."""
+        section = self.evacuations.dump(0).get(domain)
+        return section is not None and section["held"]
+
 
 class World:
     """The store with all that reads and writes it."""
@@ -243,6 +291,8 @@
         self.processes = {}
         self.next_born = 1
         self.operator_version = 0
+        self.orders = {}
+        self.orders_after_ms = 0
         # Versions with the time of their first confirmation.
         self.confirmed = []
         for number in range(1, servers + 1):
@@ -285,6 +335,12 @@
     def change_config(self):
         self.operator_version += self.rng.randint(1, 4)
 
+    def order(self, domain, *, is_in_force):
+        """Order an evacuation, or withdraw the order."""
+        known = self.orders.get(domain)
+        if known is None or known.is_in_force != is_in_force:
+            self.orders[domain] = Order(is_in_force=is_in_force)
+
     def start_process(self, number):
         process = Process(number, self.store, self.loop)
         self.processes[number] = process
@@ -300,6 +356,10 @@
         process.connected_ms = self.now_ms
 
     def set_up(self, up):
+        if up and not self.store.up:
+            self.orders_after_ms = self.now_ms + self.rng.randrange(
+                MAX_WRITE_AGAIN_MS
+            )
         self.store.up = up
         self.store.up_since_ms = self.now_ms
 
@@ -324,9 +384,32 @@
             self.confirmed.append((self.operator_version, self.now_ms))
         for server in self.servers.values():
             self._report(server)
+        if self.now_ms >= self.orders_after_ms:
+            for domain, order in self.orders.items():
+                self._write_order(domain, order)
         self._remove_lapsed_entries()
         store.take_copy()
 
+    def _write_order(self, domain, order, *, again=False):
+        """Write what the operator wants, and write again what was lost.
+
+        :param again: withdraw an order that the store does not list
+        """
+        store = self.store
+        key = f"op/evacuate/{domain}"
+        if again and not order.is_in_force and key not in store.items:
+            store.write(key, b"{}")
+        if order.is_in_force != (key in store.items):
+            store.write(key, b"{}" if order.is_in_force else None)
+            order.position = position_lib.Position(store.epoch, store.revision)
+            order.told = [
+                process
+                for process in self.processes.values()
+                if process.core.directory.position.epoch == store.epoch
+            ]
+        if order.confirmed_ms is None:
+            order.confirmed_ms = self.now_ms
+
     def _report(self, server):
         if not server.alive or self.now_ms < server.next_report_ms:
             return
@@ -364,7 +447,7 @@
                 self.now_ms, other.peers.encode_snapshot()
             )
 
-    def _is_in_touch(self, process):
+    def _is_in_touch(self, process, duration_ms=CONTACT_MS):
         """Return whether changes are due at a process."""
         return (
             self.store.up
@@ -375,7 +458,7 @@
                 process.connected_ms,
                 process.started_ms,
             )
-            > CONTACT_MS
+            > duration_ms
         )
 
     def _serving(self):
@@ -389,8 +472,14 @@
     def _check(self):
         for process in self.processes.values():
             self._check_order(process)
+            self._check_known_orders(process)
+            if self._is_told_by_peers(process):
+                for domain, order in self.orders.items():
+                    self._check_order_of_peers(process, domain, order)
             if self._is_in_touch(process):
                 self._check_in_force(process)
+                for domain, order in self.orders.items():
+                    self._check_order_in_force(process, domain, order)
 
     def _check_order(self, process):
         routes = process.core.routes
@@ -408,6 +497,82 @@
             if entry.state.value == "draining":
                 process.drained.add((entry.name, entry.born_ms))
 
+    def _check_known_orders(self, process):
+        """Check that an order, or its withdrawal, is not undone."""
+        for domain, order in self.orders.items():
+            known = process.evacuations.find(domain)
+            if process.bound_by.get(domain) is order:
+                assert known.is_in_force == order.is_in_force, (
+                    "an order, or a withdrawal, was undone"
+                )
+            elif (
+                order.position is not None
+                and known is not None
+                and known.is_in_force == order.is_in_force
+                and known.position >= order.position
+            ):
+                process.bound_by[domain] = order
+
+    def _check_order_in_force(self, process, domain, order):
+        """Check that a confirmed order, or its withdrawal, binds in time.
+
+        What a restored store contradicts is confirmed by time. A process
+        that read an epoch after the withdrawal cannot tell whether the copy
+        lacked the order.
+        """
+        if order.confirmed_ms is None:
+            return
+        # What was held for long enough is applied with an answer of the watch.
+        wait_ms = HOLD_MS + WATCH_WAIT_MS if process.holds(domain) else 0
+        due_ms = self.now_ms - CHANGE_MS - wait_ms
+        if order.confirmed_ms >= due_ms or not self._is_in_touch(
+            process, CONTACT_MS + wait_ms
+        ):
+            return
+        if order.is_in_force:
+            assert domain not in process.domains_of_new_flows(), (
+                "an order is not in force"
+            )
+        elif (
+            order.position is not None
+            and order.position.epoch == self.store.epoch
+            and process in order.told
+        ):
+            assert domain not in process.evacuations.domains(), (
+                "a withdrawal is not in force"
+            )
+
+    def _is_told_by_peers(self, process):
+        """Return whether a process has only its peers to learn changes."""
+        return (
+            not process.client.connected
+            and self.now_ms - max(process.connected_ms, process.started_ms)
+            > CONTACT_MS
+            and any(
+                self._is_in_touch(other, CONTACT_MS + CHANGE_MS)
+                for other in self.processes.values()
+            )
+        )
+
+    def _check_order_of_peers(self, process, domain, order):
+        if (
+            order.confirmed_ms is None
+            or order.confirmed_ms >= self.now_ms - CHANGE_MS - PEER_MS
+            or any(other.holds(domain) for other in self.processes.values())
+        ):
+            return
+        if order.is_in_force:
+            assert domain not in process.domains_of_new_flows(), (
+                "no peer told of an order"
+            )
+        elif all(
+            other in order.told or other is process
+            for other in self.processes.values()
+        ):
+            assert domain not in process.evacuations.domains(), (
+                "no peer told of a withdrawal"
+            )
+
     def _check_in_force(self, process):
         due_ms = self.now_ms - CHANGE_MS
         version = max(
@@ -432,9 +597,15 @@
             self.set_up(True)
         for number in self.processes:
             self.set_connected(number, True)
+        self.run(2 * CONTACT_MS)
+        for domain, order in self.orders.items():
+            self._write_order(domain, order, again=True)
         self.run(2 * LAPSE_MS + 2 * CONTACT_MS)
         truth = self._serving()
+        wanted = {d for d, order in self.orders.items() if order.is_in_force}
         for process in self.processes.values():
+            assert set(process.evacuations.domains()) == wanted
+            assert not process.domains_of_new_flows() & wanted
             assert process.ready() == truth
             assert process.version == self.operator_version
             last_ms = self.now_ms - CONTACT_MS
