--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -146,6 +146,17 @@
         status, body = await self.fetch(self.metrics_port, "/dump")
         return json.loads(body)["config_version"] if status == 200 else 0
 
+    async def evacuated_domains(self):
+        """Return the evacuated domains, none without an answer."""
+        status, body = await self.fetch(self.metrics_port, "/dump")
+        if status != 200:
+            return set()
+        return {
+            domain
+            for domain, order in json.loads(body)["evacuations"].items()
+            if order["in_force"]
+        }
+
     async def is_ready(self):
         return (await self.fetch(self.ready_port, "/ready"))[0] == 200
 
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -31,6 +31,10 @@
 # time; the entries of servers that are gone lapse later.
 WRITE_AGAIN_S = 1.2
 LAPSE_S = 3.6
+# A domain is evacuated for this long at least, so that the order is due.
+EVACUATION_S = 5.0
+# Failure domain of additional servers, which may be evacuated.
+SPARE_ZONE = "z1"
 CLIENT_COUNT = 6
 # Seeds of runs that found a fault, with its cause.
 REGRESSION_SEEDS: dict[int, str] = {
@@ -69,6 +73,9 @@
         self.drain_started_s = {}
         # When a proxy last disturbed a connection to the store.
         self.store_fault_s = float("-inf")
+        # When the order in force was written, None without one; only orders
+        # while the store answered.
+        self.ordered_s = None
         # Copies that the store may be restored from, oldest first.
         self.copies = []
 
@@ -105,13 +112,14 @@
                 )
             )
             flow = self.cluster.flow(port)
+            opening_s = asyncio.get_running_loop().time()
             if not await flow.open():
                 self.result.refused += 1
                 continue
             self.result.opened += 1
-            await self._send_requests(flow, service)
+            await self._send_requests(flow, service, opening_s)
 
-    async def _send_requests(self, flow, service):
+    async def _send_requests(self, flow, service, opening_s):
         server = None
         for number in range(self.rng.randrange(1, 20)):
             body = b"%d" % number
@@ -136,6 +144,7 @@
                 )
             if server is None:
                 self._check_new_flow(current)
+                self._check_evacuation(current, opening_s)
             server = current
             await asyncio.sleep(self.rng.uniform(0, 0.3))
         flow.finish()
@@ -146,6 +155,20 @@
                 f"open flow {flow.client_port} at {server.ident} was reset"
             )
 
+    def _check_evacuation(self, server, opening_s):
+        """Check that no flow opens in an evacuated domain.
+
+        Skipped while a balancer may not know of the order.
+        """
+        ordered_s = self.ordered_s
+        if ordered_s is None or server.zone != SPARE_ZONE:
+            return
+        known_s = max(ordered_s, self.store_fault_s + CONTACT_GRACE_S)
+        if not self._has_store_fault() and opening_s - known_s > EVACUATION_S:
+            self._add_violation(
+                f"server {server.ident} of an evacuated domain got a new flow"
+            )
+
     def _check_new_flow(self, server):
         """Check that a drained server gets no new flow.
 
@@ -188,6 +211,8 @@
             self._add_server,
             self._drain_server,
             self._kill_server,
+            self._evacuate,
+            self._end_evacuation,
         )
         fault = self.rng.choice(faults)
         self.faults.append(fault.__name__)
@@ -268,10 +293,20 @@
 
     def _add_server(self):
         service = self.rng.choice(("counter", "workshop"))
+        zone = self.rng.choice(("z0", SPARE_ZONE))
         asyncio.get_running_loop().create_task(
-            self.cluster.add_server(service)
+            self.cluster.add_server(service, zone)
         )
 
+    def _evacuate(self):
+        self.cluster.store.put(f"op/evacuate/{SPARE_ZONE}", b"{}")
+        if not self.cluster.store.silent and not self.cluster.store.busy:
+            self.ordered_s = asyncio.get_running_loop().time()
+
+    def _end_evacuation(self):
+        self.ordered_s = None
+        self.cluster.store.remove(f"op/evacuate/{SPARE_ZONE}")
+
     def _pick_server(self):
         """Return a random server, None unless two others remain in service."""
         candidates = [
@@ -326,6 +361,7 @@
                     f"{balancer.name} is not ready after the faults"
                 )
         await self._check_configuration()
+        await self._check_orders()
         for port in (deployment.FEED_PORT, deployment.DUMP_PORT):
             if not await self._accepts_flows(port):
                 self._add_violation(f"no flow to {port} after the faults")
@@ -348,6 +384,41 @@
                 f"version {self.cluster.version} is not in force"
             )
 
+    async def _check_orders(self):
+        """Check that an order, and its withdrawal, are in force in time."""
+        for is_ordered in (True, False):
+            self._evacuate()
+            if not is_ordered:
+                self._end_evacuation()
+
+            async def is_applied(expected=is_ordered):
+                states = [
+                    SPARE_ZONE in await balancer.evacuated_domains()
+                    for balancer in self.cluster.balancers
+                ]
+                return all(state is expected for state in states)
+
+            try:
+                await wait_until(is_applied, CONFIG_TIMEOUT_S)
+            except TimeoutError:
+                self._add_violation(
+                    f"evacuation of {SPARE_ZONE}: not {is_ordered} everywhere"
+                )
+            if is_ordered:
+                await self._check_new_flows_elsewhere()
+
+    async def _check_new_flows_elsewhere(self):
+        for _ in range(10):
+            flow = self.cluster.flow(deployment.FEED_PORT)
+            answer = await flow.open() and await flow.request(b"x")
+            if not answer:
+                continue
+            server = self.cluster.servers[int(answer.partition(b":")[0])]
+            if server.zone == SPARE_ZONE:
+                self._add_violation(
+                    f"evacuated server {server.ident} got a new flow"
+                )
+
     @staticmethod
     async def _is_restarted(balancer):
         if balancer.process.poll() is not None:
@@ -369,6 +440,7 @@
     ) as cluster:
         for _ in range(2):
             await cluster.add_server("workshop")
+            await cluster.add_server("counter", SPARE_ZONE)
         run = SoakRun(cluster, random.Random(seed))
         result = await run.run()
         return result, run.faults
