Test the bounds and the dump of cold servers

Cause: no test failed when the bounds of the settings were ignored after a reload, or when the dump left out cold servers. A check for an allowance of 0 was never needed: nobody is selected then.

Change: two tests; the check is gone.

--- a/src/cyclamenridge/flow/warmup.py
+++ b/src/cyclamenridge/flow/warmup.py
@@ -411,8 +411,6 @@
             # use their part.
             allowance //= 2
         selected = min(len(hosts), allowance)
-        if selected == 0:
-            return 0
         if own not in rendezvous.ranked(entry.name.encode(), hosts)[:selected]:
             return 0
         return allowance // selected
--- a/tests/flow/test_warmup.py
+++ b/tests/flow/test_warmup.py
@@ -1,7 +1,9 @@
 """Rate of new flows to cold servers, from all balancers together."""
 
 import collections
+import json
 import random
+import types
 
 import msgspec
 import pytest
@@ -10,6 +12,7 @@
 from cyclamenridge.flow import peers as peers_lib
 from cyclamenridge.flow import placement
 from cyclamenridge.flow import routes
+import cyclamenridge.flow_reports as flow_reports
 from tests.flow import builders
 
 RATES = (0.5, 1, 3, 20, 100)
@@ -490,3 +493,26 @@
         msgspec.msgpack.encode(fields), type=routes.RouteTable
     )
     assert table.warmups == {}
+
+
+@pytest.mark.parametrize(
+    ("overage", "slack", "share"), [(1.5, 5, 4), (2, 0, 3), (0.5, 0, 0)]
+)
+def test_the_bounds_set_the_allowance(overage, slack, share):
+    """The settings of a deployment must be used, also after a reload."""
+    core = make_core(cold_entry(1))
+    assert share_of(core, 5000) == 4
+    core.warmup.set_bounds(overage=overage, slack=slack)
+    assert share_of(core, 5000) == share
+
+
+def test_the_dump_shows_cold_servers():
+    core = make_core(cold_entry(1), builders.server_entry(2))
+    clock = types.SimpleNamespace(now_ms=lambda: 5000)
+    peers = types.SimpleNamespace(names=dict)
+    pages = flow_reports.MonitoringPages(core, peers, core.warmup._log, clock)
+    servers = json.loads(pages.page("/dump").body)["servers"]
+    assert [servers[f"i-0000000{n}"]["warmup"] for n in (1, 2)] == [
+        {"ms_left": COLD_MS - 5000, "allowance": 4, "sent": 0},
+        None,
+    ]
