Bound the samples of demand and acknowledgements

Old samples of the peers' demand were only dropped when a window was refreshed, which happens when a client asks for a slot. A balancer without clients kept every beacon: 20 a second, about 70,000 an hour. The times of delayed acknowledgements had the same fault while no SYN arrived.

Both drop old values when they add a new one.

--- a/src/cyclamenridge/flow/demand.py
+++ b/src/cyclamenridge/flow/demand.py
@@ -30,8 +30,13 @@
         :param demand: requests by service; a service that is left out has
             none
         """
+        self._drop_old(now_ms)
         self._samples.append((now_ms, demand))
 
+    def _drop_old(self, now_ms: int) -> None:
+        while self._samples and now_ms - self._samples[0][0] > DEMAND_TTL_MS:
+            self._samples.popleft()
+
     def estimate(
         self, now_ms: int, service: str, *, peers: int
     ) -> float | None:
@@ -41,8 +46,7 @@
         """
         if not peers:
             return 0.0
-        while self._samples and now_ms - self._samples[0][0] > DEMAND_TTL_MS:
-            self._samples.popleft()
+        self._drop_old(now_ms)
         if not self._samples:
             return None
         total = 0.0
--- a/src/cyclamenridge/flow/service_window.py
+++ b/src/cyclamenridge/flow/service_window.py
@@ -237,10 +237,15 @@
         As many answers wait for their acknowledgement now as were
         acknowledged within the last delay.
         """
+        self._drop_old_acks(now_ms)
+        return self.in_progress - min(
+            len(self._delayed_acks), self.in_progress // 2
+        )
+
+    def _drop_old_acks(self, now_ms: int) -> None:
         acks = self._delayed_acks
         while acks and now_ms - acks[0] > ACK_DELAY_MS:
             acks.popleft()
-        return self.in_progress - min(len(acks), self.in_progress // 2)
 
     def in_progress_at(self, now_ms: int, server: str) -> int:
         """Return the requests that a server works on, overdue ones left out.
@@ -319,6 +324,7 @@
             self._handshakes.record(elapsed_ms)
             return
         if answer.is_single_packet:
+            self._drop_old_acks(now_ms)
             self._delayed_acks.append(now_ms)
             elapsed_ms = max(0, elapsed_ms - ACK_DELAY_MS)
         self._refused_part += LATENCY_SMOOTHING * (
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -2,6 +2,7 @@
 import pytest
 
 from cyclamenridge.flow import admission
+from cyclamenridge.flow import demand as demand_lib
 from cyclamenridge.flow import directory
 from cyclamenridge.flow import effects
 from cyclamenridge.flow import packet as packet_lib
@@ -726,3 +727,24 @@
     for now_ms in range(100, 500, 100):
         core.sweep(now_ms)
     assert builders.forwards(flow.request(500))
+
+
+def test_demand_of_peers_does_not_pile_up_without_requests():
+    """A balancer without clients kept every beacon: 70,000 an hour."""
+    core = builders.make_core(builders.server_entry(1))
+    demand = core.admission.peer_demand
+    for now_ms in range(0, 60_000, 50):
+        demand.record(now_ms, {"counter": 1})
+    assert len(demand._samples) <= demand_lib.DEMAND_TTL_MS / 50 + 1
+
+
+def test_acknowledgements_do_not_pile_up_without_new_flows():
+    """Requests at servers that accept no new flows never ask for a slot."""
+    window, _ = make_window()
+    for now_ms in range(0, 60_000, 10):
+        item = window.record_start(
+            now_ms, server="a", is_syn=False, aim_ms=150
+        )
+        answer = service_window.Answer(is_single_packet=True)
+        window.record_end(now_ms + 5, item, answer=answer)
+    assert len(window._delayed_acks) <= service_window.ACK_DELAY_MS / 10 + 1
