Obey orders after a pause, with many withdrawals and after stale reads

Three faults of evacuation orders:

- A retransmission of a SYN that was read right after a pause was sent at once, by the state before the pause, and so was a SYN that another balancer may have sent while the queue was full.
Both could reach a domain that was evacuated during the pause.
Retransmissions now wait in the queue like first SYNs; with a full queue they are dropped.
- A full read that withdraws an order while 100 withdrawals are known raised KeyError for the withdrawal that was evicted.
This ended the task that follows the store.
Lists older than the applied position are now ignored; the watch brings all that is newer.

--- a/src/cyclamenridge/flow/evacuation.py
+++ b/src/cyclamenridge/flow/evacuation.py
@@ -156,6 +156,11 @@
         :param position: store position at which reading the list began
         :param withdrawn: withdrawals that a peer remembers
         """
+        if position < self.position:
+            # A stale read after a peer's snapshot. It may list an order whose
+            # withdrawal the peer did not remember. The watch brings whatever
+            # is newer than the snapshot.
+            return
         for domain, withdrawn_at in (withdrawn or {}).items():
             self.withdraw(now_ms, domain, withdrawn_at, source=source)
         for domain, ordered_at in listed.items():
@@ -163,9 +168,9 @@
                 self._hold_order(now_ms, domain, ordered_at, source)
             else:
                 self.order(now_ms, domain, ordered_at, source=source)
-        for domain in list(self._orders):
+        for domain, known in list(self._orders.items()):
             if domain not in listed:
-                self._drop(now_ms, domain, position, source)
+                self._drop(now_ms, domain, known, position, source)
         self.advance(position)
 
     def _may_be_outdated(self, domain: str, ordered_at: Position) -> bool:
@@ -195,10 +200,14 @@
             self.order(now_ms, domain, position, source=source)
 
     def _drop(
-        self, now_ms: int, domain: str, position: Position, source: str
+        self,
+        now_ms: int,
+        domain: str,
+        order: Order,
+        position: Position,
+        source: str,
     ) -> None:
         """Withdraw an order that a list omits, unless a restore lost it."""
-        order = self._orders[domain]
         if not order.is_in_force:
             self._holds.discard(domain)
         elif order.position.epoch < position.epoch:
--- a/src/cyclamenridge/flow/opening.py
+++ b/src/cyclamenridge/flow/opening.py
@@ -166,9 +166,10 @@
             if rec.tried_servers:
                 return effects.DROP
             return self._queue_syn(now_ms, packet, datagram, rec, service)
-        if not self._reachability.is_resuming(
-            now_ms
-        ) and self._admission.can_start(
+        if self._reachability.is_resuming(now_ms):
+            # A retransmission waits too: its domain may be evacuated by now.
+            return self._queue_syn(now_ms, packet, datagram, rec, service)
+        if self._admission.can_start(
             now_ms, service, None, is_preferred=self.is_preferred(route)
         ):
             return self.place_flow(now_ms, packet, rec, service)
@@ -249,6 +250,10 @@
             not rec.is_unsent()
             or now_ms - rec.opened_ms >= SYN_RETRANSMISSION_MS
         ):
+            if self._reachability.is_resuming(now_ms):
+                # The queue is full. The changes made during the pause may
+                # forbid every server that is known here.
+                return effects.DROP
             return self.place_flow(now_ms, packet, rec, service)
         return self._reset_syn(now_ms, packet, rec, service)
 
--- a/tests/flow/test_evacuation.py
+++ b/tests/flow/test_evacuation.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from cyclamenridge.flow import admission
 from cyclamenridge.flow import directory
 from cyclamenridge.flow import effects
 from cyclamenridge.flow import evacuation
@@ -462,3 +463,46 @@
     evacuations.withdraw(1000, "bne", builders.at(40), source="store")
     assert core.warmup.is_limited(2900, listed)
     assert not core.warmup.is_limited(3000, listed)
+
+
+def test_evicting_withdrawals_does_not_break_a_list():
+    """A full read raised KeyError, which ended the task of the store."""
+    core = make_core()
+    order(core, "bne", 1, epoch=1)
+    for number in range(evacuation.MAX_WITHDRAWN):
+        withdraw(core, f"d{number}", 2 + number, epoch=1)
+    read(core, 500, 1)
+    assert evacuated(core) == set()
+
+
+def test_a_list_older_than_a_snapshot_brings_no_order():
+    """The watch starts after the snapshot, so the removal never arrives."""
+    core = make_core()
+    snapshot = evacuation.OrderSnapshot(builders.at(100, 1), {}, {})
+    core.directory.evacuations.apply_snapshot(0, snapshot)
+    read(core, 70, 1, bne=60)
+    assert evacuated(core) == set()
+
+
+def test_a_retransmission_waits_after_a_pause():
+    """It went to a server of a domain that was evacuated in the pause."""
+    core = make_core()
+    flow = builders.Flow(core)
+    assert builders.forwards(flow.syn(0))
+    now_ms = reachability.MIN_PAUSE_MS + 100
+    assert flow.syn(now_ms, retransmission=1) == effects.DROP
+    order(core, "bne", 40, now_ms=now_ms)
+    assert core.release(now_ms + 10) == []
+    (released,) = core.release(now_ms + reachability.RESUME_SETTLE_MS)
+    assert targets(released.effects)
+    assert targets(released.effects) <= {3, 4}
+
+
+def test_a_full_queue_sends_no_syn_after_a_pause(monkeypatch):
+    """A SYN that another balancer may have sent was forwarded at once."""
+    monkeypatch.setattr(admission, "MAX_WAITING", 0)
+    core = make_core()
+    builders.Flow(core).syn(0)
+    now_ms = reachability.MIN_PAUSE_MS + 100
+    out = builders.Flow(core, client_port=40_002).syn(now_ms)
+    assert out == effects.DROP
