Check cold servers once for all SYNs that wait

Each packet let the queue ask for each waiting SYN whether any server of its service may get a flow, and each answer checked all servers.

can_place keeps its last answer by service: a server that may get a flow is checked first, and an answer without a server holds until the servers, the members or the rates change, a flow leaves the window, or a warm-up ends.

The cached share of a server was kept when its name came back in another service or failure domain: 77 flows instead of 2, or of none. The service and the domain are now part of the key.

--- a/src/cyclamenridge/flow/warmup.py
+++ b/src/cyclamenridge/flow/warmup.py
@@ -202,6 +202,22 @@
     sent: int
 
 
+class _Placeable(msgspec.Struct, frozen=True, gc=False):
+    """Last answer of ``WarmupLimiter.can_place`` for a service.
+
+    :param ready: servers that it was derived from
+    :param server: server that a new flow may go to, None if there is none
+    :param members_version: version of the members, None while they are not
+        known
+    :param until_ms: when an answer without a server has to be derived anew
+    """
+
+    ready: list[directory_lib.Server]
+    server: directory_lib.Server | None
+    members_version: int | None
+    until_ms: int
+
+
 class WarmupLimiter:
     """Decides whether a new flow may go to a server.
 
@@ -225,9 +241,13 @@
         # Flows in WINDOW_MS that a group of balancers with one view may send
         # to a cold server, by service.
         self._group_allowances: dict[str, int] = {}
-        # Own part of it by server name, for one version of the members.
-        self._shares: dict[str, int] = {}
+        # Own part of it by server name, service and failure domain, for one
+        # version of the members.
+        self._shares: dict[tuple[str, str, str], int] = {}
         self._shares_version = 0
+        # Without it, each packet checks all servers for each waiting SYN: 52
+        # ms with 40 SYNs and 2,700 cold servers.
+        self._placeable: dict[str, _Placeable] = {}
         self._sent: dict[str, collections.deque[int]] = {}
         self._logged_ms: dict[str, int] = {}
 
@@ -254,6 +274,7 @@
         }
         self.is_active = bool(self._warmups)
         self._shares.clear()
+        self._placeable.clear()
 
     def is_limited(self, now_ms: int, server: directory_lib.Server) -> bool:
         """Return whether a server is cold and its service has a rate."""
@@ -301,9 +322,41 @@
         if service not in self._warmups:
             return True
         ready = self._directory.ready_servers(service)
-        return not ready or any(
-            self.may_send(now_ms, server) for server in ready
+        if not ready:
+            return True
+        members = self.members
+        version = members.version if members.knows_members(now_ms) else None
+        known = self._placeable.get(service)
+        if known is not None and known.ready is ready:
+            if known.server is not None:
+                if self.may_send(now_ms, known.server):
+                    return True
+            elif known.members_version == version and now_ms < known.until_ms:
+                return False
+        found = next(
+            (server for server in ready if self.may_send(now_ms, server)), None
         )
+        self._placeable[service] = _Placeable(
+            ready,
+            found,
+            version,
+            now_ms
+            if found is not None
+            else min(self._limited_until_ms(now_ms, item) for item in ready),
+        )
+        return found is not None
+
+    def _limited_until_ms(
+        self, now_ms: int, server: directory_lib.Server
+    ) -> int:
+        """Return until when a limited server gets no flow, at least.
+
+        Holds while neither its entry nor the members change.
+        """
+        times = self._sent.get(server.entry.name)
+        if not times or self._share(now_ms, server) == 0:
+            return server.warmup_end_ms
+        return min(server.warmup_end_ms, times[0] + WINDOW_MS)
 
     def record(self, now_ms: int, server: directory_lib.Server) -> None:
         """Record a SYN that is sent to a server."""
@@ -393,10 +446,11 @@
         if members.version != self._shares_version:
             self._shares.clear()
             self._shares_version = members.version
-        name = server.entry.name
-        share = self._shares.get(name)
+        entry = server.entry
+        key = entry.name, entry.service, entry.failure_domain
+        share = self._shares.get(key)
         if share is None:
-            share = self._shares[name] = self._compute_share(server.entry)
+            share = self._shares[key] = self._compute_share(entry)
         return share
 
     def _compute_share(self, entry: directory_lib.ServerEntry) -> int:
--- a/tests/flow/test_warmup.py
+++ b/tests/flow/test_warmup.py
@@ -315,6 +315,107 @@
         assert flow.open(10_000 + number).ident == 1
 
 
+def count_checks(core, monkeypatch):
+    """Return the servers that are checked from now on."""
+    checked = []
+    may_send = core.warmup.may_send
+
+    def record(now_ms, server):
+        checked.append(server.entry.ident)
+        return may_send(now_ms, server)
+
+    monkeypatch.setattr(core.warmup, "may_send", record)
+    return checked
+
+
+def test_waiting_syns_do_not_check_each_server_again(monkeypatch):
+    """With 2,700 cold servers, 40 waiting SYNs took 52 ms for each packet."""
+    core = make_core(*[cold_entry(n) for n in range(1, 4)])
+    core.warmup.members.record_beacon(9000, "10.0.0.2", "bne", [])
+    for server in core.directory:
+        for _ in range(4):
+            core.warmup.record(10_000, server)
+    checked = count_checks(core, monkeypatch)
+    for number in range(10):
+        assert builders.Flow(core, client_port=number).syn(10_010) == (
+            effects.DROP
+        )
+        assert core.release(10_010) == []
+    assert len(checked) == 3
+
+
+def test_a_server_that_may_get_a_flow_is_found_at_once(monkeypatch):
+    """SYNs that wait for a slot asked all cold servers before it."""
+    cold = [cold_entry(n, failure_domain="mel") for n in range(2, 50)]
+    core = make_core(*cold, builders.server_entry(1))
+    core.warmup.members.record_beacon(9000, "10.0.0.2", "mel", [])
+    assert core.warmup.can_place(10_000, "counter")
+    checked = count_checks(core, monkeypatch)
+    assert core.warmup.can_place(10_001, "counter")
+    assert checked == [1]
+
+
+def set_warm(core):
+    core.directory.put(10_020, builders.server_entry(2, revision=90))
+
+
+def set_rate(core):
+    config = msgspec.structs.replace(config_with(counter=100), version=5)
+    core.configure(config)
+
+
+def lose_members(core):
+    """Let the other balancer of the domain leave."""
+    core.warmup.members._members.clear()
+    core.warmup.members.version += 1
+
+
+@pytest.mark.parametrize("change", [set_warm, set_rate, lose_members])
+def test_a_change_ends_the_wait_for_an_allowance(change):
+    """A remembered answer must not outlast what it was derived from."""
+    core = make_core(cold_entry(1))
+    core.warmup.members.record_beacon(9000, "10.0.0.2", "bne", [])
+    core.warmup.members._has_learnt = True
+    (server,) = core.directory
+    for _ in range(core.warmup.report(10_000, server).allowance):
+        core.warmup.record(10_000, server)
+    assert not core.warmup.can_place(10_010, "counter")
+    change(core)
+    assert core.warmup.can_place(10_020, "counter")
+
+
+def test_the_wait_for_an_allowance_ends_with_learning_and_the_warm_up():
+    core = make_core(builders.server_entry(1, warmup_ms=20_000), ticks_ms=0)
+    assert not core.warmup.can_place(100, "counter")
+    join(core.warmup)
+    assert core.warmup.can_place(5000, "counter")
+    (server,) = core.directory
+    for now_ms in (5000, 19_500):
+        for _ in range(4):
+            core.warmup.record(now_ms, server)
+        assert not core.warmup.can_place(now_ms, "counter")
+    assert not core.warmup.can_place(19_999, "counter")
+    assert core.warmup.can_place(20_000, "counter")
+
+
+@pytest.mark.parametrize(
+    "changes", [{"service": "workshop"}, {"failure_domain": "mel"}]
+)
+def test_a_server_that_moves_gets_a_new_allowance(changes):
+    """The share of its earlier service or domain was kept."""
+    core = builders.make_core(
+        cold_entry(1), config=config_with(counter=100, workshop=0.5)
+    )
+    join(core.warmup)
+    core.warmup.members.record_beacon(9000, "10.0.0.2", "mel", [])
+    core.warmup.members._has_learnt = True
+    assert share_of(core, 10_000) == 77
+    core.directory.put(
+        10_000, cold_entry(1, revision=90, born_ms=2, **changes)
+    )
+    assert share_of(core, 10_000) == (2 if "service" in changes else 0)
+
+
 def test_late_first_requests_count_against_the_allowance():
     """A cold server must not get new flows on top of requests of old ones."""
     core = make_core(cold_entry(1))
