Count the balancers that others name when slots are shared

The estimate of the peers' demand and the even part of the slots used the number of peers that sent a beacon here within 4 s. With 93 balancers that is 55, with 540 it is 44 (trial: gossip only, 8 s after the start), so that all balancers together allowed themselves 1.7 and 12 times the slots. When no beacon arrived for 4 s, each balancer took all slots.

Three of the five new test cases failed before. tests/flow/test_load.py, test_admission.py, test_core.py, test_peers.py and test_warmup.py (without the simulations of 60 and 93 balancers) pass.

--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -170,8 +170,8 @@
                 del self._peers[host]
             elif peer.loads and now_ms - peer.last_beacon_ms > LOAD_TTL_MS:
                 self._replace_loads(peer, {})
-        self._update_peer_scale(now_ms)
         self._core.warmup.sweep(now_ms)
+        self._update_peer_scale(now_ms)
         hosts = list(self._peers)
         if len(hosts) > GOSSIP_FANOUT:
             hosts = self._rng.sample(hosts, GOSSIP_FANOUT)
@@ -193,7 +193,10 @@
             for peer in self._peers.values()
         )
         admission = self._core.admission
-        admission.balancers = len(self._peers) + 1
+        # Only a part of a large fleet is heard within PEER_TIMEOUT_MS.
+        admission.balancers = max(
+            len(self._peers) + 1, self._core.warmup.members.count
+        )
         if not self._peers:
             admission.peer_scale = 1.0
         elif recent:
--- a/src/cyclamenridge/flow/warmup.py
+++ b/src/cyclamenridge/flow/warmup.py
@@ -61,12 +61,16 @@
 
     :ivar host: own address, None before ``join``
     :ivar version: rises whenever the members or their domains change
+    :ivar count: balancers that were heard or named within ``HEARD_MS`` of the
+        last tick, this one included, and at least half of the known ones: all
+        others may be alive while beacons are lost
     """
 
     def __init__(self) -> None:
         self.host: str | None = None
         self.failure_domain = ""
         self.version = 0
+        self.count = 1
         self._has_seeds = False
         self._members: dict[str, _Member] = {}
         self._ticked_ms: int | None = None
@@ -135,7 +139,9 @@
             now_ms - member.seen_ms <= HEARD_MS
             for member in self._members.values()
         )
-        if 2 * (heard + 1) < len(self._members) + 1:
+        known = len(self._members) + 1
+        self.count = max(heard + 1, (known + 1) // 2)
+        if 2 * (heard + 1) < known:
             self._cut_off_ms = now_ms
         if now_ms - self._cut_off_ms <= MEMBER_TIMEOUT_MS:
             return
--- a/tests/flow/test_peers.py
+++ b/tests/flow/test_peers.py
@@ -93,6 +93,50 @@
     assert here.core.admission.peer_scale == 2
 
 
+def test_balancers_that_others_name_share_the_slots():
+    """With 93 balancers a process hears 55 in 4 s, with 540 it hears 44.
+
+    Each then used the part of the slots of a fleet of that size.
+    """
+    here, there = Node(1, *SERVERS), Node(2, *SERVERS)
+    for number in range(3, 60):
+        there.receive_beacon(0, Node(number, *SERVERS))
+    for now_ms in range(0, 4001, 50):
+        there.peers.beacon_targets(0)
+        here.receive_beacon(now_ms, there)
+    here.peers.beacon_targets(4000)
+    assert here.core.admission.balancers == 59
+
+
+@pytest.mark.parametrize(("others", "balancers"), [(1, 1), (2, 2), (32, 17)])
+def test_silence_does_not_give_a_balancer_all_slots(others, balancers):
+    """Beacons may be lost while all balancers still reach the servers.
+
+    Each took all slots once its last peer had expired after 4 s. Twice the
+    slots fit the queues of the servers, and if half died none are idle.
+    """
+    here = Node(1, *SERVERS)
+    for number in range(2, 2 + others):
+        here.receive_beacon(0, Node(number, *SERVERS))
+    for now_ms in range(0, 60_001, peers_lib.BEACON_INTERVAL_MS):
+        here.peers.beacon_targets(now_ms)
+    assert len(here.peers) == 0
+    assert here.core.admission.balancers == balancers
+
+
+def test_balancers_that_left_do_not_keep_their_slots():
+    here = Node(1, *SERVERS)
+    nodes = [Node(number, *SERVERS) for number in range(2, 6)]
+    for now_ms in range(0, 30_001, peers_lib.BEACON_INTERVAL_MS):
+        for node in nodes[: 4 if now_ms < 2000 else 2]:
+            here.receive_beacon(now_ms, node)
+        here.peers.beacon_targets(now_ms)
+        if now_ms in (2000, 10_000, 30_000):
+            assert here.core.admission.balancers == (
+                5 if now_ms == 2000 else 3
+            )
+
+
 def test_a_new_process_loads_the_state_of_its_peers():
     """The store may be unavailable when a process starts."""
     informed = Node(1, *SERVERS)
