Bound the services that a beacon tells the demand of

A beacon listed every service with requests. With 300 services it had 4,029 bytes, while receivers read 1,472: a datagram that is cut off cannot be decoded, and its sender counts as dead. It now lists the 24 services with the highest demand, as many as servers. The new test failed before.

--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -28,6 +28,7 @@
 SEED_INTERVAL_MS = 1000
 # Maximum entries of a beacon, so that it fits one datagram.
 MAX_LOADS = 24
+MAX_DEMANDS = 24
 MAX_MEMBERS = 6
 # Minimum time between two fetches of snapshots.
 PULL_INTERVAL_MS = 500
@@ -214,6 +215,11 @@
         if len(loads) > MAX_LOADS:
             loads.sort(key=lambda load: -load.waiting)
             del loads[MAX_LOADS:]
+        demand = self._core.admission.demand()
+        if len(demand) > MAX_DEMANDS:
+            # The highest: a service that is left out counts as idle here.
+            highest = sorted(demand.items(), key=lambda item: -item[1])
+            demand = dict(highest[:MAX_DEMANDS])
         members = list(self._peers)
         if len(members) > MAX_MEMBERS:
             members = self._rng.sample(members, MAX_MEMBERS)
@@ -227,7 +233,7 @@
                 loads,
                 members,
                 self._core.directory.position.epoch,
-                self._core.admission.demand(),
+                demand,
             )
         )
 
--- a/tests/flow/test_peers.py
+++ b/tests/flow/test_peers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from cyclamenridge import errors
+import cyclamenridge.compose_flows as compose_flows
 from cyclamenridge.flow import peers as peers_lib
 from cyclamenridge.flow import routes
 from tests.flow import builders
@@ -137,6 +138,19 @@
             )
 
 
+def test_a_beacon_with_many_services_fits_a_datagram():
+    """A longer one is cut off, and its sender counts as dead."""
+    node = Node(1, *SERVERS)
+    for number in range(300):
+        node.core.admission.window(f"service-{number}").in_progress = (
+            1 + number
+        )
+    data = node.peers.encode_beacon()
+    assert len(data) <= compose_flows.MAX_BEACON_BYTES
+    demand = msgspec.msgpack.decode(data, type=peers_lib.Beacon).demand
+    assert demand["service-299"] == 300
+
+
 def test_a_new_process_loads_the_state_of_its_peers():
     """The store may be unavailable when a process starts."""
     informed = Node(1, *SERVERS)
