Refresh a window from the servers of its service

Each refresh of a window, ten times a second for each service, went through the statistics of all servers. Requests at removed servers are found by the window's own count.

test_a_window_looks_at_the_servers_of_its_service_only failed before; tests/flow/test_load.py, test_admission.py, test_core.py, test_peers.py and test_evacuation.py pass.

--- a/src/cyclamenridge/flow/admission.py
+++ b/src/cyclamenridge/flow/admission.py
@@ -223,15 +223,20 @@
     ) -> None:
         slots = self._directory.ready_slots(service)
         silent_slots = 0
-        closed = set()
-        for name, stats in self._server_stats.items():
-            server = self._directory.get(name)
-            if server is None or server.entry.service != service:
-                continue
+        # Slots of these servers do not count, so requests there must not
+        # either.
+        closed = {
+            name
+            for name in window.servers()
+            if (server := self._directory.get(name)) is not None
+            and server.removed_ms is not None
+        }
+        for server in self._directory.listed_servers(service):
+            name = server.entry.name
+            stats = self._server_stats.find(name)
             if not self._directory.is_ready(server):
-                # Its slots do not count, so its requests must not either.
                 closed.add(name)
-            elif stats.is_silent(now_ms):
+            elif stats is not None and stats.is_silent(now_ms):
                 silent_slots += server.entry.slots
         if silent_slots < slots:
             slots -= silent_slots
--- a/src/cyclamenridge/flow/service_window.py
+++ b/src/cyclamenridge/flow/service_window.py
@@ -136,6 +136,10 @@
             or now_ms - self._refreshed_ms >= REFRESH_INTERVAL_MS
         )
 
+    def servers(self) -> list[str]:
+        """Return the names of the servers with requests in progress."""
+        return [name for name, count in self._by_server.items() if count > 0]
+
     @property
     def demand(self) -> int:
         """Number of requests in progress and waiting."""
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -748,3 +748,40 @@
         answer = service_window.Answer(is_single_packet=True)
         window.record_end(now_ms + 5, item, answer=answer)
     assert len(window._delayed_acks) <= service_window.ACK_DELAY_MS / 10 + 1
+
+
+def test_a_window_looks_at_the_servers_of_its_service_only(monkeypatch):
+    """Each window went through all servers ten times a second."""
+    core = builders.make_core(
+        builders.server_entry(1),
+        *[builders.server_entry(n, service="workshop") for n in range(2, 9)],
+    )
+    for server in core.directory:
+        core.server_stats.for_server(server.entry.name)
+    looked_at = []
+    get, is_ready = core.directory.get, core.directory.is_ready
+    monkeypatch.setattr(
+        core.directory, "get", lambda name: looked_at.append(name) or get(name)
+    )
+    monkeypatch.setattr(
+        core.directory,
+        "is_ready",
+        lambda item: looked_at.append(item.entry.name) or is_ready(item),
+    )
+    core.directory.ready_servers("counter")
+    looked_at.clear()
+    core.admission.can_start(0, "counter", None, is_preferred=True)
+    assert set(looked_at) <= {"i-00000001"}
+
+
+def test_requests_at_a_removed_server_are_not_counted():
+    core = builders.make_core(*SERVERS)
+    flow = builders.Flow(core)
+    forward = flow.open(0)
+    flow.request(10)
+    window = core.admission.window("counter")
+    assert window.in_progress == 1
+    server = core.directory.by_token(forward.token)
+    core.directory.remove(20, server.entry.name, builders.at(90))
+    core.admission.can_start(110, "counter", None, is_preferred=True)
+    assert window.in_progress == 0
