--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -28,6 +28,7 @@
 SEED_INTERVAL_MS = 1000
 # Maximum entries of a beacon, so that it fits one datagram.
 MAX_LOADS = 24
+MAX_DEMANDS = 24
 MAX_MEMBERS = 6
 # Minimum time between two fetches of snapshots.
 PULL_INTERVAL_MS = 500
@@ -170,8 +171,8 @@
                 del self._peers[host]
             elif peer.loads and now_ms - peer.last_beacon_ms > LOAD_TTL_MS:
                 self._replace_loads(peer, {})
-        self._update_peer_scale(now_ms)
         self._core.warmup.sweep(now_ms)
+        self._update_peer_scale(now_ms)
         hosts = list(self._peers)
         if len(hosts) > GOSSIP_FANOUT:
             hosts = self._rng.sample(hosts, GOSSIP_FANOUT)
@@ -193,7 +194,10 @@
             for peer in self._peers.values()
         )
         admission = self._core.admission
-        admission.balancers = len(self._peers) + 1
+        # Only a part of a large fleet is heard within PEER_TIMEOUT_MS.
+        admission.balancers = max(
+            len(self._peers) + 1, self._core.warmup.members.count
+        )
         if not self._peers:
             admission.peer_scale = 1.0
         elif recent:
@@ -211,6 +215,11 @@
         if len(loads) > MAX_LOADS:
             loads.sort(key=lambda load: -load.waiting)
             del loads[MAX_LOADS:]
+        demand = self._core.admission.demand()
+        if len(demand) > MAX_DEMANDS:
+            # The highest: a service that is left out counts as idle here.
+            highest = sorted(demand.items(), key=lambda item: -item[1])
+            demand = dict(highest[:MAX_DEMANDS])
         members = list(self._peers)
         if len(members) > MAX_MEMBERS:
             members = self._rng.sample(members, MAX_MEMBERS)
@@ -224,7 +233,7 @@
                 loads,
                 members,
                 self._core.directory.position.epoch,
-                self._core.admission.demand(),
+                demand,
             )
         )
 
