--- a/src/cyclamenridge/flow/admission.py
+++ b/src/cyclamenridge/flow/admission.py
@@ -5,6 +5,9 @@
 refused as often as others, and clients use up their tries.
 """
 
+from collections.abc import Callable
+
+from cyclamenridge.flow import demand as demand_lib
 from cyclamenridge.flow import directory as directory_lib
 from cyclamenridge.flow import routes
 from cyclamenridge.flow import server_stats as stats_lib
@@ -33,12 +36,20 @@
 MAX_WAITING = 2000
 
 
+def _can_always_place(now_ms: int, service: str) -> bool:
+    """Allow new flows to all services."""
+    return True
+
+
 class AdmissionControl:
     """Decides which requests start and which wait.
 
     :ivar balancers: number of balancers, this one included
+    :ivar peer_demand: requests at other balancers, from their beacons
     :ivar peer_scale: peers per peer whose load is known, None if no load is
     :ivar waiting_count: requests that wait, at all services
+    :ivar can_place: returns, for a time and a service, whether a new flow may
+        go to any of its servers
     """
 
     def __init__(
@@ -47,8 +58,10 @@
         server_stats: stats_lib.ServerStatsTable,
     ) -> None:
         self.balancers = 1
+        self.peer_demand = demand_lib.PeerDemand()
         self.peer_scale: float | None = 1.0
         self.waiting_count = 0
+        self.can_place: Callable[[int, str], bool] = _can_always_place
         self._directory = directory
         self._server_stats = server_stats
         self._windows: dict[str, service_window.ServiceWindow] = {}
@@ -124,6 +137,14 @@
         self.waiting_count += 1
         return item
 
+    def demand(self) -> dict[str, int]:
+        """Return the requests in progress and waiting, by service."""
+        return {
+            service: window.demand
+            for service, window in self._windows.items()
+            if window.demand
+        }
+
     def has_waiting(self, service: str) -> bool:
         """Return whether requests of a service wait for a slot."""
         return len(self.window(service).queue) > 0
@@ -132,6 +153,10 @@
         """Take a request that can start now."""
 
         def can_start(item: waiting.Waiting) -> bool:
+            if item.server is None and not self.can_place(
+                now_ms, item.service
+            ):
+                return False
             return self.can_start(
                 now_ms,
                 item.service,
@@ -198,24 +223,24 @@
     ) -> None:
         slots = self._directory.ready_slots(service)
         silent_slots = 0
-        peer_requests = 0.0
+        closed = set()
         for name, stats in self._server_stats.items():
             server = self._directory.get(name)
             if server is None or server.entry.service != service:
                 continue
-            if not stats.is_silent(now_ms):
-                peer_requests += stats.peer_pending
-            elif self._directory.is_ready(server):
+            if not self._directory.is_ready(server):
+                # Its slots do not count, so its requests must not either.
+                closed.add(name)
+            elif stats.is_silent(now_ms):
                 silent_slots += server.entry.slots
         if silent_slots < slots:
             slots -= silent_slots
         window.refresh(
             now_ms,
             slots=slots,
-            peer_requests=(
-                None
-                if self.peer_scale is None
-                else peer_requests * self.peer_scale
+            peer_demand=self.peer_demand.estimate(
+                now_ms, service, peers=self.balancers - 1
             ),
             balancers=self.balancers,
+            closed=frozenset(closed),
         )
--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -19,6 +19,7 @@
 from cyclamenridge.flow import routes as routes_lib
 from cyclamenridge.flow import selection
 from cyclamenridge.flow import server_stats as stats_lib
+from cyclamenridge.flow import service_window
 from cyclamenridge.flow import tracking
 from cyclamenridge.flow import waiting
 
@@ -58,7 +59,9 @@
             "first_answer": latency.LatencyHistogram(),
         }
         self.directory = directory_lib.Directory(
-            longest_flow_ms, report_interval_ms=report_interval_ms
+            longest_flow_ms,
+            report_interval_ms=report_interval_ms,
+            log_event=log.process_event,
         )
         self.server_stats = stats_lib.ServerStatsTable()
         self.reachability = reachability_lib.DomainReachability(failure_domain)
@@ -96,6 +99,7 @@
             rng=rng,
             log=log,
         )
+        self.warmup = self._opener.warmup
 
     @property
     def flow_count(self) -> int:
@@ -369,7 +373,9 @@
         if rec.server is None:
             rec.server = server
             self.server_stats.for_server(name).open_flows += 1
-            self._table.clear_pending(now_ms, rec, answered=True)
+            self._table.clear_pending(
+                now_ms, rec, answer=service_window.Answer()
+            )
             if rec.tried_servers:
                 # This process forwarded the SYN of this handshake.
                 self.latencies["handshake"].record(now_ms - rec.opened_ms)
@@ -397,14 +403,18 @@
         self, now_ms: int, rec: tracking.FlowRecord, acked_bytes: int
     ) -> None:
         assert rec.pending_server is not None
-        if rec.route is not None and self._refusals.record(
-            rec.route.name, acked_bytes
-        ):
+        answer = service_window.Answer(
+            is_refusal=rec.route is not None
+            and self._refusals.record(rec.route.name, acked_bytes),
+            is_single_packet=acked_bytes <= packet_lib.MAX_DATA_BYTES,
+        )
+        if answer.is_refusal:
             self.counters["refusals"] += 1
-            self._table.clear_pending(now_ms, rec, refused=True)
-            return
-        self.latencies["first_answer"].record(now_ms - rec.pending_since_ms)
-        self._table.clear_pending(now_ms, rec, answered=True)
+        else:
+            self.latencies["first_answer"].record(
+                now_ms - rec.pending_since_ms
+            )
+        self._table.clear_pending(now_ms, rec, answer=answer)
 
     def _change_server(
         self, rec: tracking.FlowRecord, server: directory_lib.Server
@@ -458,22 +468,21 @@
         The first request of a flow starts at once if its SYN had to wait.
         """
         is_admitted, rec.is_admitted = rec.is_admitted, False
-        entry = server.entry
+        self.warmup.record_request(now_ms, server, rec, is_first=is_admitted)
         if (
             not is_admitted
             and rec.route is not None
-            and server.removed_ms is None
-            and entry.state is directory_lib.ServerState.READY
+            and self.directory.is_ready(server)
             and not self.admission.can_start(
                 now_ms,
-                entry.service,
+                server.entry.service,
                 server,
                 is_preferred=self._opener.is_preferred(rec.route),
             )
         ):
             rec.waiting = self.admission.enqueue(
                 now_ms,
-                service=entry.service,
+                service=server.entry.service,
                 route=rec.route,
                 record=rec,
                 server=server,
--- a/src/cyclamenridge/flow/flow_table.py
+++ b/src/cyclamenridge/flow/flow_table.py
@@ -3,6 +3,7 @@
 from cyclamenridge.flow import admission as admission_lib
 from cyclamenridge.flow import directory as directory_lib
 from cyclamenridge.flow import server_stats as stats_lib
+from cyclamenridge.flow import service_window
 from cyclamenridge.flow import tracking
 
 
@@ -48,30 +49,31 @@
         now_ms: int,
         rec: tracking.FlowRecord,
         *,
-        answered: bool = False,
-        refused: bool = False,
+        answer: service_window.Answer | None = None,
     ) -> None:
         """Count the pending request of a flow as ended.
 
-        :param answered: whether the server has answered it
-        :param refused: whether the server has refused it
+        :param answer: what the server answered, None if it is not known
         """
         if rec.pending_server is None or rec.started is None:
             return
         entry = rec.pending_server.entry
         stats = self._server_stats.for_server(entry.name)
         stats.pending -= 1
-        if refused:
-            stats.record_refusal(now_ms)
-        elif answered and not rec.started.is_syn and rec.route is not None:
-            self._server_stats.record_answer_time(
-                now_ms,
-                entry.name,
-                route=rec.route.name,
-                answer_ms=now_ms - rec.started.started_ms,
-            )
+        if answer is not None and not rec.started.is_syn:
+            if answer.is_refusal:
+                stats.record_refusal(now_ms)
+            elif rec.route is not None:
+                self._server_stats.record_answer_time(
+                    now_ms,
+                    entry.name,
+                    route=rec.route.name,
+                    answer_ms=answer.elapsed_ms(
+                        now_ms - rec.started.started_ms
+                    ),
+                )
         self._admission.window(entry.service).record_end(
-            now_ms, rec.started, answered=answered, refused=refused
+            now_ms, rec.started, answer=answer
         )
         rec.pending_server = None
         rec.started = None
--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -1,5 +1,6 @@
 """Gossip between balancers: load, versions and membership."""
 
+import collections
 import random
 
 import msgspec
@@ -7,6 +8,7 @@
 import cyclamenridge.errors as errors
 from cyclamenridge.flow import core as core_lib
 from cyclamenridge.flow import directory as directory_lib
+from cyclamenridge.flow import evacuation
 from cyclamenridge.flow import position as position_lib
 from cyclamenridge.flow import routes as routes_lib
 
@@ -29,6 +31,9 @@
 MAX_MEMBERS = 6
 # Minimum time between two fetches of snapshots.
 PULL_INTERVAL_MS = 500
+# The same while only orders are missing here. A process of a version without
+# orders never sends them; a fetch of 147 servers takes about 25 KB.
+ORDERS_PULL_INTERVAL_MS = 10_000
 
 
 class Load(msgspec.Struct, frozen=True, array_like=True):
@@ -46,6 +51,8 @@
     :param revision: store revision up to which changes are applied
     :param members: addresses of some of the sender's peers
     :param epoch: epoch of the store that the revision belongs to
+    :param demand: requests in progress and waiting by service, None if the
+        sender does not tell
     """
 
     name: str
@@ -56,6 +63,7 @@
     loads: list[Load]
     members: list[str]
     epoch: int = 0
+    demand: dict[str, int] | None = None
 
 
 class Snapshot(msgspec.Struct, frozen=True):
@@ -63,6 +71,7 @@
 
     :param removed: removed servers whose flows may still be open
     :param epoch: epoch of the store that the revision belongs to
+    :param evacuations: None if the sender's version does not know of orders
     """
 
     routes: routes_lib.RouteTable | None
@@ -70,6 +79,7 @@
     servers: list[directory_lib.ServerEntry]
     removed: list[directory_lib.ServerEntry]
     epoch: int = 0
+    evacuations: evacuation.OrderSnapshot | None = None
 
 
 class BeaconAction(msgspec.Struct, frozen=True):
@@ -126,14 +136,18 @@
         self._host = host
         self._lag_tolerance_ms = lag_tolerance_ms
         self._rng = rng
-        self._seeds = tuple(seed for seed in seeds if seed != host)
+        self._core.warmup.members.join(host, failure_domain)
+        self.set_seeds(seeds)
         self._peers: dict[str, _Peer] = {}
         # Members named in beacons of others, which have sent none here yet.
         self._unheard_hosts: dict[str, int] = {}
         self._next_seed_ms = 0
         self._next_pull_ms = 0
+        self._next_orders_pull_ms = 0
         # Own version and position at the first beacon of a peer ahead of them.
-        self._lagging_at: tuple[int, position_lib.Position] | None = None
+        self._lagging_at: (
+            tuple[int, position_lib.Position, position_lib.Position] | None
+        ) = None
         self._lagging_since_ms = 0
 
     def __len__(self) -> int:
@@ -142,6 +156,7 @@
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seeds."""
         self._seeds = tuple(seed for seed in seeds if seed != self._host)
+        self._core.warmup.members.set_seeds(self._seeds)
 
     def names(self) -> dict[str, str]:
         """Return the names of the peers by address."""
@@ -156,6 +171,7 @@
             elif peer.loads and now_ms - peer.last_beacon_ms > LOAD_TTL_MS:
                 self._replace_loads(peer, {})
         self._update_peer_scale(now_ms)
+        self._core.warmup.sweep(now_ms)
         hosts = list(self._peers)
         if len(hosts) > GOSSIP_FANOUT:
             hosts = self._rng.sample(hosts, GOSSIP_FANOUT)
@@ -208,6 +224,7 @@
                 loads,
                 members,
                 self._core.directory.position.epoch,
+                self._core.admission.demand(),
             )
         )
 
@@ -232,6 +249,15 @@
         peer.failure_domain = beacon.failure_domain
         peer.last_beacon_ms = now_ms
         self._core.reachability.record_beacon(now_ms, beacon.failure_domain)
+        self._core.admission.peer_demand.record(
+            now_ms,
+            self._sum_by_service(beacon.loads)
+            if beacon.demand is None
+            else beacon.demand,
+        )
+        self._core.warmup.members.record_beacon(
+            now_ms, host, beacon.failure_domain, beacon.members[:MAX_MEMBERS]
+        )
         self._set_loads(peer, beacon.loads)
         for member in beacon.members[:MAX_MEMBERS]:
             if member != self._host and member not in self._peers:
@@ -243,10 +269,16 @@
 
     def _is_behind(self, now_ms: int, beacon: Beacon) -> bool:
         """Return whether to catch up from a peer instead of the store."""
-        own = self._version, self._core.directory.position
+        directory = self._core.directory
+        orders_position = directory.evacuations.position
+        own = self._version, directory.position, orders_position
         announced = position_lib.Position(beacon.epoch, beacon.revision)
-        if beacon.version <= own[0] and announced <= own[1]:
-            return False
+        if beacon.version <= own[0] and announced <= directory.position:
+            next_pull_ms = max(self._next_pull_ms, self._next_orders_pull_ms)
+            if announced <= orders_position or now_ms < next_pull_ms:
+                return False
+            self._next_orders_pull_ms = now_ms + ORDERS_PULL_INTERVAL_MS
+            return True
         if not self._core.can_place_flows or self._core.store_lost:
             return True
         if own != self._lagging_at:
@@ -272,6 +304,7 @@
                     if server.removed_ms is not None
                 ],
                 directory.position.epoch,
+                directory.evacuations.snapshot(),
             )
         )
 
@@ -298,6 +331,10 @@
                 directory.remove(now_ms, entry.name, position)
             directory.replace(now_ms, position, snapshot.servers)
             is_changed = True
+        if snapshot.evacuations is not None:
+            is_changed |= directory.evacuations.apply_snapshot(
+                now_ms, snapshot.evacuations
+            )
         return is_changed
 
     @property
@@ -305,6 +342,15 @@
         routes = self._core.routes
         return 0 if routes is None else routes.version
 
+    def _sum_by_service(self, loads: list[Load]) -> dict[str, float]:
+        """Return the load of a peer that does not tell its demand."""
+        demand: dict[str, float] = collections.defaultdict(float)
+        for load in loads:
+            server = self._core.directory.by_token(load.token)
+            if server is not None:
+                demand[server.entry.service] += load.waiting
+        return demand
+
     def _set_loads(self, peer: _Peer, loads: list[Load]) -> None:
         """Replace the load of a peer by a moving average with new values.
 
--- a/src/cyclamenridge/flow/placement.py
+++ b/src/cyclamenridge/flow/placement.py
@@ -42,34 +42,29 @@
         self._slow_start_end_ms = 0
 
     def sample_candidates(
-        self, now_ms: int, ready: list[directory.Server]
+        self, ready: list[directory.Server]
     ) -> list[directory.Server]:
-        """Return a random sample of at most ``MAX_CANDIDATES`` servers.
-
-        :param ready: servers of a service that accept new flows
-        """
-        if ready:
-            service = ready[0].entry.service
-            previous = self._ready.get(service)
-            if previous is not ready:
-                self._ready[service] = ready
-                if previous is not None:
-                    self._begin_slow_starts(now_ms, previous, ready)
+        """Return a random sample of at most ``MAX_CANDIDATES`` servers."""
         if len(ready) > MAX_CANDIDATES:
             return self._rng.sample(ready, MAX_CANDIDATES)
         return ready
 
-    def _begin_slow_starts(
-        self,
-        now_ms: int,
-        previous: list[directory.Server],
-        ready: list[directory.Server],
+    def begin_slow_starts(
+        self, now_ms: int, service: str, ready: list[directory.Server]
     ) -> None:
         """Let servers that were away, or are new, start slowly.
 
         Each balancer sees them idle until beacons tell of their load. All
         balancers would place their flows there.
+
+        :param ready: all servers of a service that accept new flows
         """
+        previous = self._ready.get(service)
+        if previous is ready:
+            return
+        self._ready[service] = ready
+        if previous is None:
+            return
         names = {server.entry.name for server in previous}
         for server in ready:
             if server.entry.name not in names:
--- a/src/cyclamenridge/store_follower.py
+++ b/src/cyclamenridge/store_follower.py
@@ -19,6 +19,9 @@
 _MAX_BACKOFF_MS = 1500
 # A process that cannot place flows is of no use until the store answers.
 _MAX_BACKOFF_WITHOUT_STATE_MS = 300
+# After a pause no request starts for reachability.RESUME_SETTLE_MS. The
+# changes made meanwhile have to be read in this time.
+_RESUME_BACKOFF_MS = 10
 # Limits the length of a line of the log.
 MAX_LOGGED_NAMES = 20
 
@@ -88,9 +91,7 @@
             if self._has_answer:
                 self._has_answer = False
                 backoff_ms = _INITIAL_BACKOFF_MS
-            await asyncio.sleep(
-                self._rng.uniform(backoff_ms / 2, backoff_ms) / 1000
-            )
+            await asyncio.sleep(self._retry_delay_ms(backoff_ms) / 1000)
             backoff_ms = min(backoff_ms * 2, self._max_backoff_ms())
 
     def _knows_later_epoch(self) -> bool:
@@ -100,6 +101,13 @@
         """
         return self._core.directory.position.epoch > self._read_epoch
 
+    def _retry_delay_ms(self, backoff_ms: float) -> float:
+        now_ms = self._clock.now_ms()
+        self._core.reachability.record_activity(now_ms)
+        if self._core.reachability.is_resuming(now_ms):
+            return _RESUME_BACKOFF_MS
+        return self._rng.uniform(backoff_ms / 2, backoff_ms)
+
     def _max_backoff_ms(self) -> int:
         if self._core.can_place_flows:
             return _MAX_BACKOFF_MS
@@ -120,10 +128,16 @@
         self._note_store_answer()
         self._read_epoch = position.epoch
         server_entries = []
+        orders = {}
         refused = []
         for entry in result.entries:
             if self._records.is_config(entry.key):
                 self._apply_config(entry.value, position.epoch)
+            elif self._records.is_evacuation(entry.key):
+                domain = self._records.evacuated_domain(entry.key)
+                orders[domain] = position_lib.Position(
+                    position.epoch, entry.mod_revision
+                )
             elif self._records.is_server(entry.key):
                 server_entry = self._decode_server_entry(
                     entry.key,
@@ -140,6 +154,9 @@
         )
         for name in refused:
             self._core.directory.remove(now_ms, name, position)
+        self._core.directory.evacuations.replace(
+            now_ms, position, orders, source="store"
+        )
         self._settle(now_ms, asked_ms)
         self._core.counters["store_reads"] += 1
         self._core.counters["entries_held"] += len(listing.held)
@@ -151,13 +168,16 @@
             known_revision=known.revision,
             stale=stale,
             servers=len(server_entries),
+            evacuations=len(orders),
             put=listing.put[:MAX_LOGGED_NAMES],
             removed=listing.removed[:MAX_LOGGED_NAMES],
             held=listing.held[:MAX_LOGGED_NAMES],
         )
 
     async def _watch(self) -> None:
-        start = self._core.directory.position
+        evacuations = self._core.directory.evacuations
+        # A peer's snapshot may bring servers and leave out orders.
+        start = min(self._core.directory.position, evacuations.position)
         batches = self._store.watch(
             "",
             start_revision=start.revision + 1,
@@ -175,9 +195,9 @@
                 )
             for change in batch.changes:
                 self._apply_change(now_ms, change, start.epoch)
-            self._core.directory.advance(
-                position_lib.Position(start.epoch, batch.revision)
-            )
+            position = position_lib.Position(start.epoch, batch.revision)
+            self._core.directory.advance(position)
+            evacuations.advance(position)
             self._settle(now_ms, asked_ms)
             if batch.changes or not is_confirmed:
                 # A stale read may list servers that have left. The first
@@ -210,6 +230,15 @@
         if self._records.is_config(change.key):
             if change.value is not None:
                 self._apply_config(change.value, epoch)
+        elif self._records.is_evacuation(change.key):
+            evacuations = self._core.directory.evacuations
+            apply = (
+                evacuations.withdraw
+                if change.value is None
+                else evacuations.order
+            )
+            domain = self._records.evacuated_domain(change.key)
+            apply(now_ms, domain, position, source="store")
         elif self._records.is_server(change.key):
             name = self._records.server_name(change.key)
             if change.value is None:
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -2,6 +2,7 @@
 import pytest
 
 from cyclamenridge.flow import admission
+from cyclamenridge.flow import directory
 from cyclamenridge.flow import effects
 from cyclamenridge.flow import packet as packet_lib
 from cyclamenridge.flow import routes
@@ -191,6 +192,109 @@
     assert builders.forwards(dict(released(core, 100))[1])
 
 
+def close_by_evacuation(core, entry):
+    core.directory.evacuations.order(
+        10, entry.failure_domain, builders.at(500), source="store"
+    )
+
+
+def close_by_drain(core, entry):
+    core.directory.put(
+        10,
+        msgspec.structs.replace(
+            entry, state=directory.ServerState.DRAINING, revision=500
+        ),
+    )
+
+
+def close_by_removal(core, entry):
+    core.directory.remove(10, entry.name, builders.at(500))
+
+
+@pytest.mark.parametrize(
+    "close", [close_by_evacuation, close_by_drain, close_by_removal]
+)
+def test_requests_at_servers_without_new_flows_take_no_slot(close):
+    """Their slots do not count, so that others waited for their answers.
+
+    Balancers do not announce these requests either.
+    """
+    closed = msgspec.structs.replace(SERVERS[0], failure_domain="syd")
+    core = builders.make_core(closed, *SERVERS[1:])
+    window = core.admission.window("counter")
+    core.admission.can_start(0, "counter", None, is_preferred=True)
+    items = [
+        window.record_start(0, server=closed.name, is_syn=False, aim_ms=150)
+        for _ in range(20)
+    ]
+    core.server_stats.for_server(closed.name)
+    core.admission.balancers = 2
+    assert not core.admission.can_start(1, "counter", None, is_preferred=True)
+    close(core, closed)
+    for now_ms in range(150, 5000, 100):
+        core.admission.peer_demand.record(now_ms, {})
+        items.append(
+            window.record_start(
+                now_ms, server=closed.name, is_syn=False, aim_ms=150
+            )
+        )
+        assert core.admission.can_start(
+            now_ms, "counter", None, is_preferred=True
+        )
+        assert window.in_progress == 0
+        assert core.admission.demand() == {}
+    open_item = window.record_start(
+        5000, server=SERVERS[1].name, is_syn=False, aim_ms=150
+    )
+    for item in items:
+        window.record_end(5001, item, answer=service_window.Answer())
+    assert window.in_progress == 1
+    window.record_end(5002, open_item, answer=service_window.Answer())
+    assert window.in_progress == 0
+    # The even part of the two other servers, and what peers leave unused.
+    assert window.limit > window.per_slot * 4 / core.admission.balancers
+
+
+def test_requests_count_again_when_an_order_is_withdrawn():
+    closed = msgspec.structs.replace(SERVERS[0], failure_domain="syd")
+    core = builders.make_core(closed, *SERVERS[1:])
+    window = core.admission.window("counter")
+    core.server_stats.for_server(closed.name)
+    close_by_evacuation(core, closed)
+    core.admission.can_start(0, "counter", None, is_preferred=True)
+    for _ in range(4):
+        window.record_start(90, server=closed.name, is_syn=False, aim_ms=150)
+    assert window.in_progress == 0
+    core.directory.evacuations.withdraw(
+        95, "syd", builders.at(501), source="store"
+    )
+    core.admission.can_start(100, "counter", None, is_preferred=True)
+    assert window.in_progress == 4
+
+
+def test_a_syn_that_was_reset_without_a_server_stays_refused():
+    """The reset promised that the request does not run."""
+    entry = msgspec.structs.replace(SERVERS[0], failure_domain="syd")
+    core = builders.make_core(entry)
+    close_by_evacuation(core, entry)
+    flow = builders.Flow(core)
+    assert flow.syn(20) == effects.RESET
+    core.directory.evacuations.withdraw(
+        30, "syd", builders.at(501), source="store"
+    )
+    assert flow.syn(40, retransmission=1) == effects.RESET
+
+
+def test_a_syn_that_waited_too_long_is_not_reset_without_a_server():
+    """Another balancer may have forwarded the client's retransmission."""
+    core = builders.make_core(*SERVERS)
+    fill(core)
+    flow = builders.Flow(core, client_port=1)
+    assert flow.syn(0) == effects.DROP
+    close_by_evacuation(core, SERVERS[0])
+    assert dict(released(core, 250))[1] == effects.DROP
+
+
 @pytest.mark.parametrize("copy", [0, 1])
 def test_a_syn_without_any_server_is_reset_only_if_it_was_not_sent(copy):
     core = builders.make_core(*SERVERS)
@@ -356,20 +460,44 @@
 
 def make_window(**options):
     window = service_window.ServiceWindow()
-    arguments = {"slots": 14, "peer_requests": 0.0, "balancers": 5} | options
+    arguments = {"slots": 14, "peer_demand": 0.0, "balancers": 5} | options
     window.refresh(0, **arguments)
     return window, arguments
 
 
 def test_a_balancer_may_always_use_its_even_part_of_the_slots():
     """Loads of peers may be wrong, or come from balancers that died."""
-    window, arguments = make_window(peer_requests=1000.0)
+    window, arguments = make_window(peer_demand=1000.0)
     for now_ms in range(100, 3000, 100):
         window.refresh(now_ms, **arguments)
     part = service_window.INITIAL_REQUESTS_PER_SLOT * 14 / 5
     assert window.limit == pytest.approx(part)
 
 
+def test_balancers_share_the_slots_in_proportion_to_their_demand():
+    """Together they put no more on the servers than the slots allow."""
+    limits = []
+    for own_demand in (60, 30, 10):
+        window, arguments = make_window(
+            peer_demand=100.0 - own_demand, balancers=3
+        )
+        for now_ms in range(100, 6000, 100):
+            items = [
+                window.record_start(
+                    now_ms, server="s", is_syn=True, aim_ms=150
+                )
+                for _ in range(own_demand)
+            ]
+            assert window.is_full(now_ms, own_demand)
+            window.refresh(now_ms, **arguments)
+            for item in items:
+                window.record_end(now_ms, item, answer=None)
+        limits.append(window.limit)
+    total = window.per_slot * 14
+    # Each may always use its even part.
+    assert limits == pytest.approx([0.6 * total, total / 3, total / 3])
+
+
 def test_a_balancer_uses_the_slots_that_its_peers_leave():
     """All the load of a domain may come through one balancer."""
     window, arguments = make_window()
@@ -382,7 +510,7 @@
 
 
 def test_a_balancer_without_beacons_keeps_to_its_even_part():
-    window, arguments = make_window(peer_requests=None)
+    window, arguments = make_window(peer_demand=None)
     for now_ms in range(100, 3000, 100):
         assert window.is_full(now_ms, 0)
         window.refresh(now_ms, **arguments)
@@ -397,7 +525,9 @@
             item = window.record_start(
                 now_ms, server="s", is_syn=False, aim_ms=150
             )
-            window.record_end(now_ms + elapsed_ms, item, answered=True)
+            window.record_end(
+                now_ms + elapsed_ms, item, answer=service_window.Answer()
+            )
             if now_ms % 100 == 0:
                 window.refresh(now_ms, **arguments)
 
@@ -407,6 +537,41 @@
     assert window.per_slot >= service_window.INITIAL_REQUESTS_PER_SLOT
 
 
+def test_refusals_lower_the_limit_and_do_not_count_as_fast_answers():
+    """Servers refused a third of the arrivals while the limit rose."""
+    window, arguments = make_window()
+    for now_ms in range(10, 2000, 10):
+        item = window.record_start(
+            now_ms, server="s", is_syn=False, aim_ms=150
+        )
+        window.record_end(
+            now_ms + 2,
+            item,
+            answer=service_window.Answer(is_refusal=now_ms % 40 == 0),
+        )
+        assert window.is_full(now_ms, 0)
+        if now_ms % 100 == 0:
+            window.refresh(now_ms, **arguments)
+    assert window.per_slot < service_window.INITIAL_REQUESTS_PER_SLOT
+
+
+def test_an_answer_that_is_acknowledged_late_has_left_its_slot():
+    """A quarter of the slots was idle while requests waited."""
+    window, _ = make_window()
+    for now_ms in range(0, 200, 10):
+        item = window.record_start(
+            now_ms - 80, server="s", is_syn=False, aim_ms=150
+        )
+        window.record_end(
+            now_ms, item, answer=service_window.Answer(is_single_packet=True)
+        )
+    for _ in range(10):
+        window.record_start(195, server="s", is_syn=False, aim_ms=150)
+    acknowledged = service_window.ACK_DELAY_MS // 10
+    assert window.is_full(195, 10 - acknowledged)
+    assert not window.is_full(195, 11 - acknowledged)
+
+
 def test_requests_whose_answer_passes_another_balancer_are_not_counted_long():
     """After a change of the routers, most flows move to other balancers."""
     window, _ = make_window()
@@ -414,7 +579,7 @@
         item = window.record_start(
             now_ms, server="s", is_syn=False, aim_ms=150
         )
-        window.record_end(now_ms + 40, item, answered=True)
+        window.record_end(now_ms + 40, item, answer=service_window.Answer())
     for _ in range(10):
         window.record_start(200, server="s", is_syn=False, aim_ms=150)
     assert window.is_full(220, 10)
--- a/tests/flow/test_selection.py
+++ b/tests/flow/test_selection.py
@@ -137,7 +137,8 @@
         """Return the part of flows that are placed at a server."""
         firsts = []
         for _ in range(count):
-            candidates = self.placement.sample_candidates(now_ms, servers)
+            self.placement.begin_slow_starts(now_ms, "counter", servers)
+            candidates = self.placement.sample_candidates(servers)
             chosen = self.placement.select_servers(now_ms, candidates, ())
             firsts.append(chosen[0].entry.name)
         return firsts.count(name) / count
