--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -410,8 +410,6 @@
         )
         if answer.is_refusal:
             self.counters["refusals"] += 1
-            name = rec.pending_server.entry.name
-            self.server_stats.for_server(name).last_refusal_ms = now_ms
         else:
             self.latencies["first_answer"].record(
                 now_ms - rec.pending_since_ms
--- a/src/cyclamenridge/flow/flow_table.py
+++ b/src/cyclamenridge/flow/flow_table.py
@@ -58,7 +58,20 @@
         if rec.pending_server is None or rec.started is None:
             return
         entry = rec.pending_server.entry
-        self._server_stats.for_server(entry.name).pending -= 1
+        stats = self._server_stats.for_server(entry.name)
+        stats.pending -= 1
+        if answer is not None and not rec.started.is_syn:
+            if answer.is_refusal:
+                stats.record_refusal(now_ms)
+            elif rec.route is not None:
+                self._server_stats.record_answer_time(
+                    now_ms,
+                    entry.name,
+                    route=rec.route.name,
+                    answer_ms=answer.elapsed_ms(
+                        now_ms - rec.started.started_ms
+                    ),
+                )
         self._admission.window(entry.service).record_end(
             now_ms, rec.started, answer=answer
         )
--- a/src/cyclamenridge/flow/opening.py
+++ b/src/cyclamenridge/flow/opening.py
@@ -305,6 +305,7 @@
         ready = self._directory.ready_servers(service)
         if not ready:
             return self._refuse_without_server(now_ms, packet, rec, service)
+        self._placement.begin_slow_starts(now_ms, service, ready)
         sample = self._placement.sample_candidates(ready)
         servers = self.warmup.allowed(now_ms, sample)
         if not servers and len(sample) < len(ready):
--- a/src/cyclamenridge/flow/service_window.py
+++ b/src/cyclamenridge/flow/service_window.py
@@ -62,6 +62,15 @@
     is_refusal: bool = False
     is_single_packet: bool = False
 
+    def elapsed_ms(self, acknowledged_ms: int) -> int:
+        """Return the time to the answer.
+
+        :param acknowledged_ms: time to the acknowledgement of the client
+        """
+        if self.is_single_packet:
+            return max(0, acknowledged_ms - ACK_DELAY_MS)
+        return acknowledged_ms
+
 
 class Started:
     """A SYN or request that was sent to a server.
@@ -323,14 +332,13 @@
             self._by_server[item.server] -= 1
         if answer is None:
             return
-        elapsed_ms = now_ms - item.started_ms
+        elapsed_ms = answer.elapsed_ms(now_ms - item.started_ms)
         if item.is_syn:
             self._handshakes.record(elapsed_ms)
             return
         if answer.is_single_packet:
             self._drop_old_acks(now_ms)
             self._delayed_acks.append(now_ms)
-            elapsed_ms = max(0, elapsed_ms - ACK_DELAY_MS)
         self._refused_part += LATENCY_SMOOTHING * (
             answer.is_refusal - self._refused_part
         )
