--- a/tests/flow/test_peers.py
+++ b/tests/flow/test_peers.py
@@ -5,8 +5,8 @@
 import msgspec
 import pytest
 
+from cyclamenridge import compose_flows
 from cyclamenridge import errors
-import cyclamenridge.compose_flows as compose_flows
 from cyclamenridge.flow import peers as peers_lib
 from cyclamenridge.flow import routes
 from tests.flow import builders
