Move the ends of warm-ups out of the directory

Nothing changes in behaviour: tests of the directory, of cold servers (without the simulation) and of evacuations pass.

--- a/src/cyclamenridge/flow/directory.py
+++ b/src/cyclamenridge/flow/directory.py
@@ -12,6 +12,7 @@
 from cyclamenridge.flow import evacuation
 from cyclamenridge.flow import holds
 from cyclamenridge.flow import position as position_lib
+from cyclamenridge.flow import warmup_ends
 
 Position = position_lib.Position
 
@@ -118,17 +119,6 @@
     """Default callback for events."""
 
 
-class _AssumedWarmup(msgspec.Struct, frozen=True):
-    """Warm-up that servers of a domain are assumed to have.
-
-    :param position: store position that entries with the warm-up follow
-    :param end_ms: assumed end by service
-    """
-
-    position: Position
-    end_ms: dict[str, int]
-
-
 class Directory:
     """Servers by name and by token; older entries never replace newer ones.
 
@@ -160,7 +150,7 @@
         self._ready_by_service: dict[str, list[Server]] = {}
         self._ready_slots: dict[str, int] = {}
         self._is_indexed = True
-        self._assumed_warmups: dict[str, _AssumedWarmup] = {}
+        self._warmup_ends = warmup_ends.WarmupEnds()
         # The value is None if the store does not list the server.
         self._holds: holds.Holds[ServerEntry | None] = holds.Holds()
         self._entry_hold_ms = holds.entry_hold_ms(report_interval_ms)
@@ -237,7 +227,7 @@
     def _set(self, now_ms: int, entry: ServerEntry) -> None:
         server = self._servers.get(entry.name)
         fresh = Server(entry, now_ms)
-        fresh.warmup_end_ms = self._warmup_end_ms(now_ms, server, entry)
+        fresh.warmup_end_ms = self._warmup_ends.end_ms(now_ms, server, entry)
         self._servers[entry.name] = fresh
         holder = self._by_token.get(fresh.token)
         if (
@@ -249,35 +239,6 @@
         self._is_indexed = False
         self._holds.discard(entry.name)
 
-    def _warmup_end_ms(
-        self, now_ms: int, server: Server | None, entry: ServerEntry
-    ) -> int:
-        """Return the end of a server's warm-up with a newer entry.
-
-        :param server: the server with its last entry, if any
-        """
-        end_ms = now_ms + entry.warmup_ms
-        assumed = self._assumed_warmups.get(entry.failure_domain)
-        is_first_report = False
-        if assumed is not None:
-            if entry.position <= assumed.position:
-                known_ms = 0 if server is None else server.warmup_end_ms
-                assumed_ms = assumed.end_ms.get(entry.service, 0)
-                return max(end_ms, known_ms, assumed_ms)
-            is_first_report = (
-                server is not None and server.position <= assumed.position
-            )
-        if (
-            server is not None
-            and not is_first_report
-            and server.entry.born_ms == entry.born_ms
-            and server.entry.warmup_ms == entry.warmup_ms
-            and now_ms < server.warmup_end_ms
-        ):
-            # A change of another field repeats the value of the last report.
-            return server.warmup_end_ms
-        return end_ms
-
     def assume_cold(
         self,
         now_ms: int,
@@ -292,26 +253,17 @@
 
         :param durations_ms: warm-up by service
         """
-        known = self._assumed_warmups.get(failure_domain)
-        if known is not None and known.position >= position:
+        if not self._warmup_ends.assume_cold(
+            now_ms, failure_domain, position, durations_ms
+        ):
             return
-        assumed = _AssumedWarmup(
-            position,
-            {
-                service: now_ms + duration_ms
-                for service, duration_ms in durations_ms.items()
-            },
-        )
-        self._assumed_warmups[failure_domain] = assumed
         for server in self._servers.values():
-            entry = server.entry
-            if (
-                entry.failure_domain == failure_domain
-                and server.position <= position
-            ):
-                server.warmup_end_ms = max(
-                    server.warmup_end_ms, assumed.end_ms.get(entry.service, 0)
-                )
+            server.warmup_end_ms = max(
+                server.warmup_end_ms,
+                self._warmup_ends.assumed_end_ms(
+                    server.entry, server.position
+                ),
+            )
 
     def remove(self, now_ms: int, name: str, position: Position) -> bool:
         """Mark a server as removed; return whether that changed its state."""
