Look up the members of a domain once for each change

A change of the members derives the shares of all cold servers anew, and went through all members for each server.

--- a/src/cyclamenridge/flow/warmup.py
+++ b/src/cyclamenridge/flow/warmup.py
@@ -250,6 +250,8 @@
         # Own part of it by server name, service and failure domain, for one
         # version of the members.
         self._shares: dict[tuple[str, str, str], int] = {}
+        # Candidates by failure domain, for the same version.
+        self._candidates: dict[str, tuple[list[str], bool]] = {}
         self._shares_version = 0
         # Without it, each packet checks all servers for each waiting SYN: 52
         # ms with 40 SYNs and 2,700 cold servers.
@@ -451,6 +453,7 @@
             return 0
         if members.version != self._shares_version:
             self._shares.clear()
+            self._candidates.clear()
             self._shares_version = members.version
         entry = server.entry
         key = entry.name, entry.service, entry.failure_domain
@@ -460,7 +463,10 @@
         return share
 
     def _compute_share(self, entry: directory_lib.ServerEntry) -> int:
-        hosts, are_local = self.members.candidates(entry.failure_domain)
+        domain = entry.failure_domain
+        if domain not in self._candidates:
+            self._candidates[domain] = self.members.candidates(domain)
+        hosts, are_local = self._candidates[domain]
         own = self.members.host
         assert own is not None
         if own not in hosts:
--- a/tests/flow/test_warmup.py
+++ b/tests/flow/test_warmup.py
@@ -355,6 +355,25 @@
     assert checked == [1]
 
 
+def test_a_change_of_the_members_is_looked_at_once_for_each_domain(
+    monkeypatch,
+):
+    """With 540 balancers and 2,700 cold servers, each change took 0.5 s."""
+    core = make_core(*[cold_entry(n) for n in range(1, 10)])
+    core.warmup.members.version += 1
+    domains = []
+    candidates = core.warmup.members.candidates
+
+    def record(domain):
+        domains.append(domain)
+        return candidates(domain)
+
+    monkeypatch.setattr(core.warmup.members, "candidates", record)
+    for server in core.directory:
+        assert core.warmup.may_send(10_000, server)
+    assert domains == ["bne"]
+
+
 def set_warm(core):
     core.directory.put(10_020, builders.server_entry(2, revision=90))
 
