Move the resets of open flows out of the core

Change: flow/flow_resets.py decides which open flows are reset.

Result: test_core.py, test_liveness.py, test_evacuation.py and test_peers.py pass.

--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -7,6 +7,7 @@
 from cyclamenridge.flow import directory as directory_lib
 from cyclamenridge.flow import effects
 from cyclamenridge.flow import evidence
+from cyclamenridge.flow import flow_resets
 from cyclamenridge.flow import flow_table
 from cyclamenridge.flow import latency
 from cyclamenridge.flow import liveness
@@ -79,6 +80,15 @@
         self._log = log
         self._table = flow_table.FlowTable(self.server_stats, self.admission)
         self._refusals = refusals.RefusalDetector()
+        self._resets = flow_resets.FlowResets(
+            directory=self.directory,
+            server_stats=self.server_stats,
+            reachability=self.reachability,
+            liveness=self._liveness,
+            table=self._table,
+            counters=self.counters,
+            log=log,
+        )
         self._evidence = evidence.ServerEvidence(
             self.server_stats, self.reachability, log
         )
@@ -245,11 +255,10 @@
             )
             return effects.RESET
         rec = self._track_packet(now_ms, packet, server)
-        if rec is not None and (
-            self._is_at_gone_server(now_ms, packet, rec, server)
-            or self._should_reset(now_ms, packet, rec, server)
+        if rec is not None and self._resets.should_reset(
+            now_ms, packet, rec, server, store_lost=self.store_lost
         ):
-            return self._give_up_flow(now_ms, packet, rec, server)
+            return self._resets.reset(now_ms, packet, rec, server)
         if (
             rec is not None
             and rec.waiting is not None
@@ -260,91 +269,6 @@
             return effects.DROP
         return (opening.forward_to(server),)
 
-    def _give_up_flow(
-        self,
-        now_ms: int,
-        packet: packet_lib.Packet,
-        rec: tracking.FlowRecord,
-        server: directory_lib.Server,
-    ) -> effects.Effects:
-        self.counters["flows_given_up"] += 1
-        stats = self.server_stats.for_server(server.entry.name)
-        self._log.flow_event(
-            now_ms,
-            "flow_given_up",
-            packet,
-            server=server.entry.name,
-            failure_domain=server.entry.failure_domain,
-            answered_ms_ago=stats.answered_ms_ago(now_ms),
-            removed=server.removed_ms is not None,
-        )
-        self._table.clear_pending(now_ms, rec)
-        return effects.RESET
-
-    def _is_at_gone_server(
-        self,
-        now_ms: int,
-        packet: packet_lib.Packet,
-        rec: tracking.FlowRecord,
-        server: directory_lib.Server,
-    ) -> bool:
-        """Return whether a request waits for a server that is gone.
-
-        Its client learns of the failure now and not at its deadline. A
-        request that must not run twice is not repeated by its client.
-        """
-        return packet.length > 0 and self._liveness.is_gone(
-            now_ms,
-            server,
-            store_lost=self.store_lost,
-            retransmissions=rec.retransmissions,
-        )
-
-    def _should_reset(
-        self,
-        now_ms: int,
-        packet: packet_lib.Packet,
-        rec: tracking.FlowRecord,
-        server: directory_lib.Server,
-    ) -> bool:
-        """Return whether a reset lets the client recover sooner.
-
-        Only idempotent requests gain from a reset: the client does not repeat
-        others on a new flow. The server's whole failure domain has to be
-        unreachable, because a single unresponsive server may be alive behind
-        a saturated link. Recent losses in other domains point to such a link,
-        or to a network fault of this machine, so they rule out a reset.
-        """
-        if not packet.length or rec.route is None or not rec.route.idempotent:
-            return False
-        if not rec.retransmissions:
-            # The reachability state may be stale; this packet may be answered.
-            return False
-        domain = server.entry.failure_domain
-        return (
-            self.reachability.is_unreachable(now_ms, domain)
-            and self._has_other_responsive_server(now_ms, server)
-            and not any(
-                other.entry.failure_domain != domain
-                and self.server_stats.for_server(
-                    other.entry.name
-                ).has_recent_losses(now_ms)
-                for other in self.directory
-            )
-        )
-
-    def _has_other_responsive_server(
-        self, now_ms: int, server: directory_lib.Server
-    ) -> bool:
-        """Return whether another server of the service answered recently."""
-        return any(
-            now_ms
-            - self.server_stats.for_server(other.entry.name).last_answer_ms
-            < liveness.RECENT_ANSWER_MS
-            for other in self.directory.ready_servers(server.entry.service)
-            if other is not server
-        )
-
     def _track_packet(
         self,
         now_ms: int,
@@ -516,39 +440,6 @@
             self._table.end(now_ms, self._table.records.pop(key))
         for name in self.directory.evict_removed(now_ms):
             self.server_stats.discard(name)
-        return self._reset_flows_at_gone_servers(now_ms)
-
-    def _reset_flows_at_gone_servers(
-        self, now_ms: int
-    ) -> list[effects.Release]:
-        """Reset the pending flows whose next retransmission may be far off."""
-        resets = []
-        for key, rec in list(self._table.records.items()):
-            server = rec.pending_server
-            if (
-                server is None
-                or server is not rec.server
-                or server.removed_ms is None
-                or not self._liveness.is_gone(
-                    now_ms,
-                    server,
-                    store_lost=self.store_lost,
-                    retransmissions=rec.retransmissions,
-                )
-            ):
-                continue
-            client, client_port, host, port = key
-            packet = packet_lib.Packet(
-                client,
-                client_port,
-                host,
-                port,
-                packet_lib.ACK,
-                rec.next_seq or 0,
-                rec.acked or 0,
-                0,
-                server.token,
-            )
-            out = self._give_up_flow(now_ms, packet, rec, server)
-            resets.append(effects.Release(packet, b"", out))
-        return resets
+        return self._resets.reset_at_gone_servers(
+            now_ms, store_lost=self.store_lost
+        )
