Put files in force that a restored store confirms

Cause: documents were ordered by their own revision alone, which a store that was restored from an older copy gives out again. A file that it confirmed before balancers wrote theirs back was ignored (same revision) or overwritten (lower one). The own protocol's store tells no epoch, so the histories can't be ordered by it.

Change: the apply ids in a document tell a file of a new history from an old copy. A balancer that reads a stored file whose apply operation the document in force lacks writes it back, by compare-and-swap, with the revisions after the one in force; the history keeps the apply ids of both histories, each once. A balancer that sees a conflict with a peer reads the store. A document that is too large to be written is reported as a failure instead of an unhandled exception.

test_two_documents_of_one_revision_are_counted_and_kept asked for the fault. Its replacement asks that the conflict is counted once, that all balancers and the store have the stored file as the next revision with the apply ids of both, and that revisions only grow. The stateful test now applies files as operators do, to restored stores as well, and also asks that the file confirmed last is in force in the end. The documents of the simulated fleet have the apply ids that real ones have.

Not covered: a file on a copy more than 32 revisions older than the one in force (docs/membership.md, "Limits").

--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -28,14 +28,17 @@
 
 
 def document(revision: int, body: str | None = None) -> Document:
-    """Return a document with a valid digest."""
+    """Return a document with a valid digest and the earlier apply ids."""
     if body is None:
         body = f"revision: {revision}\n"
     return Document(
         revision=revision,
         digest=transfer.body_digest(body),
         apply_id=f"apply-{revision}",
-        history=(),
+        history=tuple(
+            (earlier, f"apply-{earlier}")
+            for earlier in range(revision - 1, 0, -1)
+        )[: document_lib.HISTORY_LENGTH],
         body=body,
     )
 
--- a/src/cyclamenridge/adapters/store_platform.py
+++ b/src/cyclamenridge/adapters/store_platform.py
@@ -125,8 +125,8 @@
         return result.revision
 
     async def _write_config(self, effect: effects.WriteStore) -> None:
-        value = self._format.encode_document(effect.document)
         try:
+            value = self._format.encode_document(effect.document)
             result = await self._store.compare_and_put(
                 self._format.config_key,
                 value,
--- a/src/cyclamenridge/config/document.py
+++ b/src/cyclamenridge/config/document.py
@@ -92,6 +92,54 @@
     return None
 
 
+def needs_renumbering(stored: Document, known: Document) -> bool:
+    """Return whether a stored document follows one with its number or above.
+
+    A store that is restored from an older copy gives out revisions again. A
+    document that it accepts then has an apply operation that ``known``
+    lacks, although ``known`` has recorded another one for its revision, or
+    the other way round. Without such a record, ``stored`` is taken for an
+    old copy if its revision is lower.
+    """
+    if revision_of(known, stored.apply_id) is not None:
+        return False
+    if revision_of(stored, known.apply_id) is not None:
+        return stored.revision <= known.revision
+    revision = min(stored.revision, known.revision)
+    ids = (apply_id_at(stored, revision), apply_id_at(known, revision))
+    return None not in ids and ids[0] != ids[1]
+
+
+def renumbered(stored: Document, known: Document) -> Document:
+    """Return a stored document as a successor of one from a lost history.
+
+    The apply operations that ``known`` lacks get the revisions after it, so
+    that each operation of both histories is recorded once.
+    """
+    oldest_revision = min((known.revision, *dict(known.history)))
+    new_ids = [
+        apply_id
+        for revision, apply_id in (
+            (stored.revision, stored.apply_id),
+            *stored.history,
+        )
+        if revision >= oldest_revision and revision_of(known, apply_id) is None
+    ]
+    entries = (
+        *(
+            (known.revision + len(new_ids) - index, apply_id)
+            for index, apply_id in enumerate(new_ids)
+        ),
+        (known.revision, known.apply_id),
+        *known.history,
+    )
+    return dataclasses.replace(
+        stored,
+        revision=entries[0][0],
+        history=entries[1 : HISTORY_LENGTH + 1],
+    )
+
+
 def encode(document: Document) -> bytes:
     """Encode a document for the store.
 
--- a/src/cyclamenridge/config/operator.py
+++ b/src/cyclamenridge/config/operator.py
@@ -174,9 +174,9 @@
             )
         base = int(match.group(1))
         stored = await self.read()
-        outcome = _find_outcome(stored, apply_id, base + 1)
+        outcome, revision = _find_outcome(stored, apply_id, base + 1)
         if outcome is Outcome.APPLIED:
-            return Resolution(outcome, base + 1, "the apply id is recorded")
+            return Resolution(outcome, revision, "the apply id is recorded")
         if outcome is Outcome.NOT_APPLIED:
             reason = f"another file is revision {base + 1}"
         elif stored.revision > base:
@@ -321,11 +321,13 @@
 
     async def _check_outcome(self, stored: StoredConfig) -> ApplyResult | None:
         """Return the final result, None while the outcome is unknown."""
-        outcome = _find_outcome(
+        outcome, revision = _find_outcome(
             stored, self._result.apply_id, self._document.revision
         )
         if outcome is Outcome.APPLIED:
-            return self._make_result(outcome)
+            return dataclasses.replace(
+                self._result, outcome=outcome, revision=revision
+            )
         if outcome is Outcome.NOT_APPLIED:
             if stored.document and stored.document.body == self._file.body:
                 return dataclasses.replace(
@@ -371,15 +373,21 @@
 
 def _find_outcome(
     stored: StoredConfig, apply_id: str, revision: int
-) -> Outcome:
-    """Return the outcome of the operation that was to write ``revision``."""
+) -> tuple[Outcome, int]:
+    """Return the outcome of an operation, and the stored revision of it.
+
+    :param revision: revision that the operation was to write. Balancers
+        renumber it if it was given out twice, so that the apply id decides.
+    """
     document = stored.document
     if document is None:
-        return Outcome.UNKNOWN
-    recorded_id = document_lib.apply_id_at(document, revision)
-    if recorded_id == apply_id:
-        return Outcome.APPLIED
-    return Outcome.UNKNOWN if recorded_id is None else Outcome.NOT_APPLIED
+        return Outcome.UNKNOWN, 0
+    recorded_revision = document_lib.revision_of(document, apply_id)
+    if recorded_revision is not None:
+        return Outcome.APPLIED, recorded_revision
+    if document_lib.apply_id_at(document, revision) is None:
+        return Outcome.UNKNOWN, stored.revision
+    return Outcome.NOT_APPLIED, stored.revision
 
 
 def _compare_with_stored(
--- a/src/cyclamenridge/control/plane.py
+++ b/src/cyclamenridge/control/plane.py
@@ -140,10 +140,13 @@
         self, now_ms: int, read: events.StoreRead
     ) -> types.Output:
         """Handle an answer of the store to a read or watch."""
+        previous = self.document
         if read.document is not None and self._replicator.adopt(read.document):
             self._announce_revision(now_ms)
         self._outbox.add_effects(
-            *self._store_watcher.handle_read(now_ms, read, self.document)
+            *self._store_watcher.handle_read(
+                now_ms, read, self.document, previous=previous
+            )
         )
         return self._output()
 
@@ -225,6 +228,7 @@
                 now_ms, source, message.revision, message.digest
             ),
         )
+        self._request_wanted_read(now_ms)
         match message.body:
             case messages.Fetch() as fetch:
                 self._serve_fetch(now_ms, source, fetch)
@@ -277,6 +281,9 @@
         if document is not None:
             self._announce_revision(now_ms)
         self._send_fetch(now_ms, req)
+        self._request_wanted_read(now_ms)
+
+    def _request_wanted_read(self, now_ms: int) -> None:
         if self._replicator.take_store_read_wanted():
             self._store_watcher.request_extra_read(now_ms)
 
--- a/src/cyclamenridge/control/replication.py
+++ b/src/cyclamenridge/control/replication.py
@@ -121,6 +121,8 @@
             self._counters["config_digest_mismatch"] += 1
             return False
         if self.document is not None:
+            if document_lib.needs_renumbering(document, self.document):
+                self.record_conflict(document.revision)
             self._bases[self.revision] = self.document
             if len(self._bases) > MAX_BASES:
                 self._bases.popitem(last=False)
@@ -132,7 +134,7 @@
         return True
 
     def record_conflict(self, revision: int) -> None:
-        """Count, once, that two documents have the revision in force."""
+        """Count, once for a revision, that two histories have given it out."""
         if self._conflicting_revision != revision:
             self._conflicting_revision = revision
             self._counters["config_conflict"] += 1
@@ -143,6 +145,8 @@
         """Compare a peer's revision; return a request if it is newer."""
         if revision == self.revision and revision and digest != self.digest:
             self.record_conflict(revision)
+            # The stored document is renumbered if this node lacks it.
+            self._store_read_wanted = True
         incoming = self._incoming
         if revision <= self.revision or (
             incoming is not None and revision < incoming.revision
@@ -248,7 +252,10 @@
         ]
 
     def take_store_read_wanted(self) -> bool:
-        """Return, once, whether to read the store before a long transfer."""
+        """Return, once, whether to read the store.
+
+        It is read before a long transfer and after a conflict.
+        """
         wanted, self._store_read_wanted = self._store_read_wanted, False
         return wanted
 
--- a/src/cyclamenridge/control/store_schedule.py
+++ b/src/cyclamenridge/control/store_schedule.py
@@ -139,11 +139,15 @@
         now_ms: int,
         answer: events.StoreRead,
         document: Document | None,
+        *,
+        previous: Document | None = None,
     ) -> list[effects.Effect]:
         """Handle an answer of the store.
 
         :param document: document in force after the answer was applied
-        :return: a write if the store has an older document
+        :param previous: document in force before, if it is another one
+        :return: a write if the store has an older document, or one whose
+            revision it has given out twice
         """
         self._read_sent_ms = None
         if self._watch_lost:
@@ -159,6 +163,22 @@
             self._back_off(now_ms)
             return []
         self._failures = 0
+        known = previous or document
+        if (
+            answer.document is not None
+            and known is not None
+            and document_lib.needs_renumbering(answer.document, known)
+        ):
+            # Not read again first: a document from a lagging watch fails the
+            # comparison, and the file must be in force within 3 s.
+            self._older_read = None
+            self._counters["config_renumbered"] += 1
+            renumbered = document_lib.renumbered(answer.document, known)
+            return [
+                effects.WriteStore(
+                    renumbered, answer.mod_revision, answer.value
+                )
+            ]
         if document is None or stored_revision >= document.revision:
             self._older_read = None
             return []
--- a/tests/adapters/test_store_platform.py
+++ b/tests/adapters/test_store_platform.py
@@ -94,6 +94,23 @@
     asyncio.run(run())
 
 
+def test_document_that_is_too_large_to_write_is_a_failure():
+    """Guards against an exception that nobody handles: the apply ids of two
+    histories can make a document too large for the store.
+    """
+
+    async def run():
+        async with running_platform() as (_, adapter, emitted, counters):
+            body = "x" * document_lib.MAX_ENCODED_BYTES
+            document = document_lib.successor(None, body=body, apply_id="a")
+            adapter.write(effects.WriteStore(document, 0))
+            await waiting.until(lambda: emitted)
+            assert isinstance(emitted[0], events.StoreFailed)
+            assert counters["store_failures"] == 1
+
+    asyncio.run(run())
+
+
 def test_watch_resumes_after_an_outage():
     """Guards against missing a change made while the store is down."""
 
--- a/tests/config/test_document.py
+++ b/tests/config/test_document.py
@@ -34,6 +34,78 @@
     assert document.apply_id_at(current, 7) is None
 
 
+def grow(previous, name, count):
+    """Return the document after ``count`` further apply operations."""
+    for number in range(count):
+        previous = document.successor(
+            previous, body=f"{name}: {number}\n", apply_id=f"{name}-{number}"
+        )
+    return previous
+
+
+def apply_ids(current):
+    return [current.apply_id, *(name for _, name in current.history)]
+
+
+@hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+@hypothesis.given(
+    strategies.integers(0, 20),
+    strategies.integers(1, 6),
+    strategies.integers(1, 6),
+    strategies.integers(0, 3),
+)
+def test_a_document_of_a_new_history_gets_revisions_after_the_lost_one(
+    common, lost, new, later
+):
+    """Guards against a confirmed file that stays behind a lost one, against
+    an apply id that is recorded twice or no longer, and against balancers
+    that renumber each other's documents for ever.
+    """
+    base = grow(None, "base", common)
+    known, stored = grow(base, "lost", lost), grow(base, "new", new)
+    assert document.needs_renumbering(stored, known)
+    result = document.renumbered(stored, known)
+    assert document.decode(document.encode(result)) == result
+    assert result.revision == common + lost + new
+    assert (result.body, result.apply_id) == (stored.body, stored.apply_id)
+    assert apply_ids(result) == [
+        *apply_ids(stored)[:new],
+        *apply_ids(known),
+    ]
+    for older in (stored, known, base, result):
+        if older is not None:
+            assert not document.needs_renumbering(older, result)
+            if older is not result:
+                assert not document.needs_renumbering(result, older)
+    # The store goes back to the stored document and accepts further ones.
+    again = grow(stored, "again", later)
+    if later:
+        assert document.needs_renumbering(again, result) is (
+            later <= lost or again.revision <= result.revision
+        )
+    if document.needs_renumbering(again, result):
+        last = document.renumbered(again, result)
+        assert last.revision == result.revision + later
+        assert sorted(apply_ids(last)) == sorted(
+            {*apply_ids(again), *apply_ids(known)}
+        )
+
+
+def test_an_older_copy_or_an_unrelated_old_document_is_not_renumbered():
+    """Guards against a store that went back and reverts the configuration."""
+    known = grow(None, "base", 40)
+    for revision in (1, 7, 8, 39, 40):
+        assert not document.needs_renumbering(
+            grow(None, "base", revision), known
+        )
+        assert not document.needs_renumbering(
+            known, grow(None, "base", revision)
+        )
+    # Older than the history: it may be a copy.
+    assert not document.needs_renumbering(grow(None, "new", 7), known)
+    assert document.needs_renumbering(grow(None, "new", 8), known)
+
+
 @pytest.mark.parametrize(
     "changes",
     [
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -354,3 +354,28 @@
     apply_all(store, config_file(2), wait_ms=500)
     store.apply_late_writes()
     assert store.log[-1][1] == OTHER_DOCUMENT
+
+
+def test_renumbered_operation_is_found_at_its_new_revision():
+    """Guards against "not applied" for a file that is in force, after the
+    balancers gave it a later revision because the store was restored.
+    """
+    store = FaultyStore()
+    apply_all(store, config_file(1))
+    common = store.documents()[-1]
+    lost = apply_all(store, config_file(2))[0]
+    known = store.documents()[-1]
+    store.log = [(1, document_lib.encode(common))]
+    operator = make_operator(store, seed=7)
+    applied = asyncio.run(operator.apply(config_file(3)))
+    renumbered = document_lib.renumbered(store.documents()[-1], known)
+    mod_revision = store.log[-1][0]
+    assert store.put_if_unchanged(
+        document_lib.encode(renumbered), mod_revision
+    )
+    for result, revision in ((lost, 2), (applied, 3)):
+        found = asyncio.run(operator.resolve(result.apply_id))
+        assert (found.outcome, found.revision) == (Outcome.APPLIED, revision)
+    assert (lost.revision, applied.revision) == (2, 2)
+    other = asyncio.run(operator.resolve("1-0123456789abcdef"))
+    assert other.outcome is Outcome.NOT_APPLIED
--- a/tests/control/test_replication.py
+++ b/tests/control/test_replication.py
@@ -5,6 +5,7 @@
 import pytest
 
 from benchmarks import control_fleet
+from cyclamenridge.config import document as document_lib
 from cyclamenridge.control import messages
 from cyclamenridge.control import replication
 from cyclamenridge.control import store_schedule
@@ -324,23 +325,83 @@
     assert node.plane.counters["config_digest_mismatch"] > 0
 
 
-def test_two_documents_of_one_revision_are_counted_and_kept():
+def test_of_two_documents_of_one_revision_the_stored_one_is_renumbered():
     """Guards against balancers that alternate between two documents after
-    the store lost writes and an operator applied another file.
+    the store lost writes and an operator applied another file, against a
+    change of the file without a new revision, and against an apply id that
+    is no longer found.
     """
     fleet = start_fleet(6)
     fleet.apply(document(2))
     wait_until_in_force(fleet, 2)
-    fleet.apply(document(2, "another"))
-    fleet.run(5000)
-    assert all(n.plane.document.body != "another" for n in fleet.live())
+    another = document_lib.successor(
+        document(1), body="another", apply_id="1-a"
+    )
+    fleet.apply(another)
+    wait_until_in_force(fleet, 3)
     assert all(
         node.plane.counters["config_conflict"] == 1
         for node in fleet.live()
         if node.watching
     )
-    fleet.apply(document(3, "another"))
+    renumbered = document_lib.Document(
+        3, another.digest, "1-a", ((2, "apply-2"), (1, "apply-1")), "another"
+    )
+    assert fleet.store.document == renumbered
+    assert fleet.store.mod_revision == 4
+    fleet.run(5000)
+    assert {node.plane.document for node in fleet.live()} == {renumbered}
+    fleet.apply(
+        document_lib.successor(renumbered, body="next", apply_id="3-b")
+    )
+    wait_until_in_force(fleet, 4)
+    assert {node.plane.document.body for node in fleet.live()} == {"next"}
+    assert_revisions_increase(fleet)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_lost_apply_ids_are_found_if_the_new_history_is_longer(seed):
+    """Guards against a lost revision that is reported as never applied."""
+    fleet = start_fleet(6, seed)
+    fleet.apply(document(2))
+    wait_until_in_force(fleet, 2)
+    # The store goes back and accepts two files before balancers read it.
+    stored = document(1)
+    for number in (1, 2):
+        stored = document_lib.successor(
+            stored, body=f"another {number}", apply_id=f"{number}-a"
+        )
+    fleet.apply(stored)
+    wait_until_in_force(fleet, 4)
+    assert fleet.store.document.history == (
+        (3, "1-a"),
+        (2, "apply-2"),
+        (1, "apply-1"),
+    )
+    assert {node.plane.document.body for node in fleet.live()} == {"another 2"}
+    assert_revisions_increase(fleet)
+
+
+def test_a_balancer_with_a_lost_document_does_not_keep_it():
+    """Guards against a balancer outside of the watchers that keeps a lost
+    document, because the one in force has the same revision.
+    """
+    fleet = start_fleet(15)
+    lost = document_lib.successor(document(1), body="lost", apply_id="1-x")
+    node = next(node for node in fleet.live() if not node.watching)
+    fleet._run_plane(
+        node,
+        lambda: node.plane.handle_store_read(
+            fleet.now_ms, events.StoreRead(lost, 2)
+        ),
+    )
+    assert node.plane.document == lost
+    fleet.apply(document(2))
     wait_until_in_force(fleet, 3)
+    assert {node.plane.document.body for node in fleet.live()} == {
+        document(2).body
+    }
+    assert fleet.store.document.history[0] == (2, "1-x")
 
 
 @pytest.mark.parametrize("lost", [1, 2])
--- a/tests/control/test_stateful.py
+++ b/tests/control/test_stateful.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from benchmarks import control_fleet
+from cyclamenridge.config import document as document_lib
 
 NODES = 6
 IN_FORCE_MS = 3000
@@ -14,8 +15,14 @@
 class FaultMachine(stateful.RuleBasedStateMachine):
     """The oracle is the highest revision that a running node has.
 
-    Guards against a node that replaces a revision by an older one, and
-    against one that lacks the newest revision 3 s after all faults ended.
+    Guards against a node that replaces a revision by an older one, against
+    one that lacks the newest revision 3 s after all faults ended, and
+    against a file that the store confirmed last and that is not in force
+    afterwards, also if the store had been restored from an older copy.
+
+    :ivar confirmed: the document that an operator applied last, None if the
+        store was restored since
+    :ivar copies: documents that the store can be restored to
     """
 
     @stateful.initialize(seed=st.integers(0, 1000))
@@ -23,8 +30,10 @@
         self.fleet = control_fleet.Fleet(seed)
         self.nodes = self.fleet.grow(NODES)
         self.last_incarnation = 1
-        self.last_applied_revision = 1
-        self.fleet.apply(control_fleet.document(1))
+        self.applied_count = 1
+        self.confirmed = control_fleet.document(1)
+        self.copies = [self.confirmed]
+        self.fleet.apply(self.confirmed)
         self.fleet.run(6000)
 
     def node(self, number):
@@ -33,10 +42,14 @@
     @stateful.rule()
     def apply(self):
         if self.fleet.store.up:
-            self.last_applied_revision += 1
-            self.fleet.apply(
-                control_fleet.document(self.last_applied_revision)
+            self.applied_count += 1
+            self.confirmed = document_lib.successor(
+                self.fleet.store.document,
+                body=f"file: {self.applied_count}\n",
+                apply_id=f"applied-{self.applied_count}",
             )
+            self.copies.append(self.confirmed)
+            self.fleet.apply(self.confirmed)
 
     @stateful.rule(
         groups=st.lists(
@@ -73,12 +86,15 @@
         self.fleet.store.up = True
         self.fleet.store.watch_lag_ms = lag_ms
 
-    @stateful.rule(revision=st.integers(1, 3))
-    def restore_old_document(self, revision):
-        if revision < self.last_applied_revision:
-            self.fleet.store.document = control_fleet.document(revision)
+    @stateful.rule(age=st.integers(1, 3), applies=st.booleans())
+    def restore_old_document(self, age, applies):
+        if age < len(self.copies):
+            self.fleet.store.document = self.copies[-1 - age]
             self.fleet.store.mod_revision += 7
+            self.confirmed = None
             self.fleet.break_watches()
+            if applies:
+                self.apply()
 
     @stateful.rule(number=node_numbers)
     def restart(self, number):
@@ -117,7 +133,15 @@
             lambda: fleet.store.document.revision == self.newest_revision(),
             3 * IN_FORCE_MS,
         )
-        assert fleet.all_hold(self.newest_revision())
+        # A renumbered document is in force 3 s after it was stored.
+        fleet.until(
+            lambda: fleet.all_hold(self.newest_revision()), IN_FORCE_MS
+        )
+        documents = {node.plane.document for node in fleet.live()}
+        assert documents == {fleet.store.document}
+        if self.confirmed is not None:
+            assert fleet.store.document.apply_id == self.confirmed.apply_id
+            assert fleet.store.document.body == self.confirmed.body
 
     def newest_revision(self):
         documents = [node.plane.document for node in self.fleet.live()]
