Route flows of a lost home before servers are known

Cause: the choice of a lost home's server used the variable of a loop over the lists of servers, which is unbound when no servers were ever set.

Change: without a list of servers there is no server at the lost home.

Result: the new test raised UnboundLocalError before and passes now; tests/routing passes.

--- a/src/cyclamenridge/routing/flow_router.py
+++ b/src/cyclamenridge/routing/flow_router.py
@@ -251,7 +251,7 @@
         The list of servers is the latest one whose moved flows the lost
         member has surely announced, or else the oldest one stored.
         """
-        if not self._lost_member_ms:
+        if not (self._lost_member_ms and self._server_lists):
             return None
         home = rendezvous.choose(key, (*self._home_set, *self._lost_member_ms))
         lost_ms = self._lost_member_ms.get(home)
--- a/tests/routing/test_flow_router.py
+++ b/tests/routing/test_flow_router.py
@@ -70,6 +70,17 @@
         assert successor.route(300, key, opening=False) == server
 
 
+def test_home_that_is_lost_before_any_servers_are_known_names_none():
+    """Guards against an exception for each packet of a service whose
+    servers are not known yet when a home is lost.
+    """
+    router = flow_router.FlowRouter("b2", flow_limit=10, idle_ms=1_000)
+    router.set_members(0, MEMBERS)
+    router.set_members(100, ("b2", "b3"))
+    assert {router.route(200, key) for key in KEYS[:50]} == {None}
+    assert len(router) == 0
+
+
 def test_filters_of_a_replaced_balancer_are_dropped():
     """Guards against memory that grows with each replaced balancer.
 
