Keep a subscription without a limit when its feed breaks

When the first item said that the feed was broken, both were 0 and the command ended.

Change: a limit of 0 is never reached.

Result: the new test failed for the limit 0 before and passes now, with the limits 1 and 2.

--- a/src/cyclamenridge/cli/call.py
+++ b/src/cyclamenridge/cli/call.py
@@ -167,7 +167,7 @@
             else:
                 typer.echo(f"feed broken: {item.reason.value}", err=True)
             event_count += isinstance(item, outcomes.FeedEvent)
-            if event_count == event_limit:
+            if event_limit and event_count >= event_limit:
                 break
         await feed.close()
         await session.close()
