Charge the buffer of parts and the payload of small requests

Cause: the list of a request's parts, 8 bytes for each of up to 8,192, was not charged to the memory bound. A request of one part was admitted with room for 1 byte and then charged with its payload.

Change: the buffer is charged while it exists, and admission asks for it and for the payload that has arrived.

--- a/src/cyclamenridge/session/admission.py
+++ b/src/cyclamenridge/session/admission.py
@@ -3,6 +3,7 @@
 from cyclamenridge.config import model
 from cyclamenridge.node import context as context_lib
 from cyclamenridge.session import memory as memory_lib
+from cyclamenridge.session import parts as parts_lib
 from cyclamenridge.session import state as state_lib
 from cyclamenridge.wire import caller
 
@@ -52,8 +53,10 @@
         return Reason.BAD_REQUEST
     # All parts except the last one have the maximum size.
     min_bytes = (params.parts - 1) * caller.MAX_PART_BYTES + 1
-    if max(min_bytes, len(params.payload)) > kind.max_bytes:
+    min_bytes = max(min_bytes, len(params.payload))
+    if min_bytes > kind.max_bytes:
         return Reason.TOO_LARGE
-    if not memory.has_room(session, min_bytes):
+    needed_bytes = min_bytes + parts_lib.buffer_bytes(params.parts)
+    if not memory.has_room(session, needed_bytes):
         return Reason.OVERLOADED
     return None
--- a/src/cyclamenridge/session/owner.py
+++ b/src/cyclamenridge/session/owner.py
@@ -333,6 +333,10 @@
         else:
             if record.part_buffer is None:
                 record.part_buffer = parts_lib.PartBuffer(record.parts)
+                # Admission has checked that there is room.
+                self._memory.charge(
+                    session, record, parts_lib.buffer_bytes(record.parts)
+                )
                 key = scheduling.RequestKey(session.ident, record.seq)
                 self._partial_records[key] = record
             if record.part_buffer.add(params.part, params.payload):
@@ -375,6 +379,10 @@
             return
         if record.parts == 1:
             self._memory.charge(session, record, len(payload))
+        else:
+            self._memory.charge(
+                session, record, -parts_lib.buffer_bytes(record.parts)
+            )
         key = scheduling.RequestKey(session.ident, record.seq)
         self._partial_records.pop(key, None)
         record.part_buffer = None
--- a/src/cyclamenridge/session/parts.py
+++ b/src/cyclamenridge/session/parts.py
@@ -2,6 +2,10 @@
 
 from cyclamenridge.wire import caller
 
+# Size of a buffer without its parts, and of its entry for each part.
+_BUFFER_BYTES = 100
+_ENTRY_BYTES = 8
+
 
 class PartBuffer:
     """Reassembles a request from its parts.
@@ -44,6 +48,16 @@
         return b"".join(part for part in self._parts if part is not None)
 
 
+def buffer_bytes(part_count: int) -> int:
+    """Return the size of the buffer of a request without the parts, in bytes.
+
+    It is allocated with the first part. A request of one part needs none.
+    """
+    if part_count == 1:
+        return 0
+    return _BUFFER_BYTES + _ENTRY_BYTES * part_count
+
+
 def count(payload: bytes) -> int:
     """Return the number of parts in which a payload is sent."""
     return max(1, -(-len(payload) // caller.MAX_PART_BYTES))
--- a/tests/session/test_limits.py
+++ b/tests/session/test_limits.py
@@ -1,6 +1,7 @@
 """Limits on the memory and time that requests take."""
 
 from cyclamenridge.session import memory as memory_lib
+from cyclamenridge.session import owner as owner_lib
 from cyclamenridge.wire import caller
 from tests.node import callers
 from tests.node import deployment as deployment_lib
@@ -65,3 +66,42 @@
     assert (
         deployment.wait_for_outcome(request, 8_000) is callers.Outcome.UNKNOWN
     )
+
+
+def test_buffer_of_a_request_of_many_parts_is_charged():
+    """Guards against a node that requests of many parts drive out of
+    memory: the list of parts takes 8 bytes for each that is announced.
+    """
+    deployment = deployment_lib.Deployment()
+    session = deployment.open()
+    owner = sessions_of(deployment, session)
+    request = deployment.caller.call(
+        session, "dump", 50 * caller.MAX_PART_BYTES
+    )
+    deployment.fleet.run_until(lambda: owner._partial_records)
+    (record,) = owner._partial_records.values()
+    expected = owner_lib.RECORD_BYTES + record.part_buffer.size + 8 * 50
+    assert owner.buffered_bytes >= expected
+    deployment.fleet.run_until(lambda: not owner._partial_records)
+    assert deployment.wait_for_outcome(request) is caller.Outcome.ANSWERED
+    deployment.fleet.run_for(130_000)
+    assert owner.buffered_bytes == 0
+
+
+def test_request_of_one_part_needs_room_for_its_payload(monkeypatch):
+    """Guards against a bound that each small request may exceed by its
+    payload, because admission asks for a single byte.
+    """
+    deployment = deployment_lib.Deployment()
+    session = deployment.open()
+    owner = sessions_of(deployment, session)
+    request = deployment.caller.call(session, "dump", 900)
+    assert len(request.parts) == 1
+    needed = owner_lib.RECORD_BYTES + len(request.payload)
+    limit = owner.buffered_bytes + needed
+    monkeypatch.setattr(memory_lib, "MAX_NODE_BYTES", limit - 1)
+    assert deployment.wait_for_outcome(request) is caller.Outcome.NOT_RUN
+    assert request.reason is caller.Reason.OVERLOADED
+    monkeypatch.setattr(memory_lib, "MAX_NODE_BYTES", 3 * limit)
+    request = deployment.caller.call(session, "dump", 900)
+    assert deployment.wait_for_outcome(request) is caller.Outcome.ANSWERED
