Pass on no member that a full list refuses

Cause: a report of a new member was returned for dissemination also when the list was full and refused the member, so that each node spread names that a faulty peer invented.

Change: an update that was refused is not returned.

Result: the new test failed before and passes now; tests/control/test_membership.py passes.

--- a/src/cyclamenridge/control/membership.py
+++ b/src/cyclamenridge/control/membership.py
@@ -142,8 +142,7 @@
         if entry is None:
             if update.state is State.DEAD:
                 return None
-            self.add(now_ms, update)
-            return update
+            return None if self.add(now_ms, update) is None else update
         known = entry.update
         if update.precedence <= known.precedence:
             return None
--- a/tests/control/test_membership.py
+++ b/tests/control/test_membership.py
@@ -368,3 +368,16 @@
     assert victim.plane.counters["control_malformed"] > 10
     fleet.run(5000)
     assert victim.adopted == adopted
+
+
+def test_member_that_a_full_list_refuses_is_not_passed_on(monkeypatch):
+    """Guards against names that a faulty peer invents and that every node
+    refuses and sends on.
+    """
+    monkeypatch.setattr(membership, "MAX_MEMBERS", 1)
+    members = make_table()
+    first = make_update(State.ALIVE, name="bal-1")
+    assert members.apply_reported(0, first) == first
+    refused = make_update(State.ALIVE, name="bal-2")
+    assert members.apply_reported(0, refused) is None
+    assert list(members.entries) == ["bal-1"]
