Pass on a sender's update only as it was applied

Cause: when a known member sent its own update from another address, the update was queued for other members even if the list rejected it or applied it in another form: a death is taken for a suspicion first.

Change: what the list returns is queued, and nothing for a rejection.

Result: both new tests failed before and pass now; tests/control/test_membership.py passes.

--- a/src/cyclamenridge/control/peering.py
+++ b/src/cyclamenridge/control/peering.py
@@ -283,10 +283,11 @@
             ):
                 if entry is None:
                     entry = self.table.add(now_ms, update)
+                    applied = None if entry is None else update
                 else:
-                    self.table.apply_reported(now_ms, update)
-                if entry is not None:
-                    self._disseminator.enqueue(update)
+                    applied = self.table.apply_reported(now_ms, update)
+                if applied is not None:
+                    self._disseminator.enqueue(applied)
                 return entry
         return None
 
--- a/tests/control/test_membership.py
+++ b/tests/control/test_membership.py
@@ -1,6 +1,7 @@
 """Failure detection and the member list, on a simulated fleet."""
 
 import collections
+import dataclasses
 import random
 
 import pytest
@@ -381,3 +382,57 @@
     refused = make_update(State.ALIVE, name="bal-2")
     assert members.apply_reported(0, refused) is None
     assert list(members.entries) == ["bal-1"]
+
+
+def test_only_the_applied_form_of_a_sender_s_update_is_passed_on():
+    """Guards against a claim that this node does not follow, here a death
+    that it takes for a suspicion, and that it sends on as it came.
+    """
+    fleet = start_fleet(3)
+    node, sender = fleet.nodes["bal-001"], fleet.nodes["bal-002"]
+    peering = node.plane._peering
+    moved = dataclasses.replace(
+        sender.balancer, incarnation=2, peer_address=fleet.address(9)
+    )
+    update = messages.Update(moved, 0, State.DEAD)
+    peering._find_or_add_sender(
+        fleet.now_ms,
+        messages.Message(
+            sender="bal-002",
+            incarnation=2,
+            counter=0,
+            leaving=False,
+            sequence=1,
+            revision=0,
+            digest=0,
+            body=messages.Announce(),
+            updates=(update,),
+        ),
+        moved.peer_address,
+    )
+    assert peering.table.entries["bal-002"].state is State.SUSPECT
+    passed_on = peering._disseminator.piggyback()
+    assert update not in passed_on
+    assert dataclasses.replace(update, state=State.SUSPECT) in passed_on
+
+
+def test_rejected_update_of_a_sender_is_not_passed_on(monkeypatch):
+    """Guards against a rejected update that this node sends on."""
+    fleet = start_fleet(3)
+    node, sender = fleet.nodes["bal-001"], fleet.nodes["bal-002"]
+    peering = node.plane._peering
+    moved = dataclasses.replace(
+        sender.balancer, incarnation=2, peer_address=fleet.address(9)
+    )
+    update = messages.Update(moved, 0, State.ALIVE)
+    monkeypatch.setattr(
+        peering.table, "apply_reported", lambda now_ms, update: None
+    )
+    message = messages.Message(
+        "bal-002", 2, 0, False, 1, 0, 0, messages.Announce(), (update,)
+    )
+    entry = peering._find_or_add_sender(
+        fleet.now_ms, message, moved.peer_address
+    )
+    assert entry is peering.table.entries["bal-002"]
+    assert update not in peering._disseminator.piggyback()
