Read one key per line of a key file

Cause: the key file was split at any white space, while its message and docs/configuration.md say one key per line.

Change: a line is a key; space around it and empty lines are ignored, and white space inside of it is a finding, which does not show the line.

Result: the new test failed before and passes now; tests/config/test_settings.py passes. A file with several keys in a line was accepted so far and is refused at the start now.

--- a/src/cyclamenridge/config/settings.py
+++ b/src/cyclamenridge/config/settings.py
@@ -219,7 +219,7 @@
         if not isinstance(key_file, str):
             return (), []
         try:
-            file_keys = (directory / key_file).read_text().split()
+            lines = (directory / key_file).read_text().split("\n")
         except (OSError, ValueError) as exc:
             return (), [
                 content.make_finding(
@@ -228,7 +228,18 @@
                     "a text file with one key per line",
                 )
             ]
+        file_keys = [line.strip() for line in lines if line.strip()]
         key_texts = list(enumerate(file_keys))
+        for index, text in key_texts:
+            # ``bytes.fromhex`` would ignore the white space.
+            if len(text.split()) > 1:
+                return (), [
+                    content.make_finding(
+                        (*path, index),
+                        "a line with white space in it",
+                        "one key per line",
+                    )
+                ]
     keys = tuple(_decode_key(text) for _, text in key_texts)
     findings = [
         content.make_finding(
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -56,6 +56,25 @@
         settings.load(tmp_path / "none.yaml")
 
 
+def test_a_key_file_has_one_key_per_line(tmp_path):
+    """Guards against two keys of one line that are read as one, and against
+    a key that is read as several since it has white space in it.
+    """
+    path = tmp_path / "settings.yaml"
+    path.write_text(VALID.replace(f"keys: [{KEY}]", "key_file: keys"))
+    (tmp_path / "keys").write_text(f"\n  {KEY}\t\r\n\n{KEY[::-1]}")
+    read = settings.load(path)
+    assert read.keys == (bytes.fromhex(KEY), bytes.fromhex(KEY[::-1]))
+    half = KEY[:32]
+    for line in (f"{KEY} {KEY[::-1]}", f"{half} {half}", f"{half}\t{half}"):
+        (tmp_path / "keys").write_text(f"{KEY}\n{line}\n")
+        with pytest.raises(findings.InvalidConfigError) as raised:
+            settings.load(path)
+        assert "key_file.1" in str(raised.value)
+        assert "one key per line" in str(raised.value)
+        assert half not in str(raised.value)
+
+
 @pytest.mark.parametrize(
     ("old", "new", "line", "key", "allowed"),
     [
