Tell a refused hello from a message that is no response

Cause: a link whose server answered hello with a notification, a request or the response to another message ended with the reason "the server refused hello", and a refusal did not show the server's error. A response with another message id was taken for the response to hello.

Change: the reason names what was received, or the error of the server.

Result: the new test failed before and passes now; tests/adapters/test_backend_link.py passes.

--- a/src/cyclamenridge/adapters/backend_link.py
+++ b/src/cyclamenridge/adapters/backend_link.py
@@ -19,6 +19,7 @@
 # backlog cannot exhaust memory. Two frames of the maximum size fit.
 _MAX_UNSENT_BYTES = 2 * framing.MAX_FRAME_BYTES
 _HELLO_MSGID = 0
+_MAX_ERROR_CHARS = 200
 
 
 class TcpLinkTransport(links.LinkTransport):
@@ -139,11 +140,22 @@
                 )
             frames = decoder.feed(data)
         response = rpc.decode(frames[0])
-        if (
-            not isinstance(response, rpc.Response)
-            or response.error is not None
-        ):
-            raise errors.LinkError("the server refused hello")
+        if not isinstance(response, rpc.Response):
+            raise errors.LinkError(
+                "expected the response to hello, received a "
+                f"{type(response).__name__.lower()}"
+            )
+        if response.msgid != _HELLO_MSGID:
+            raise errors.LinkError(
+                "expected the response to hello, received a response to "
+                f"message {response.msgid}"
+            )
+        if response.error is not None:
+            # The server may send any text; the reason is one short log field.
+            error = " ".join(str(response.error).split())
+            raise errors.LinkError(
+                f"the server refused hello: {error[:_MAX_ERROR_CHARS]}"
+            )
         try:
             identity = msgspec.msgpack.decode(
                 response.result, type=backend.Identity
--- a/tests/adapters/test_backend_link.py
+++ b/tests/adapters/test_backend_link.py
@@ -157,3 +157,31 @@
         await fixture.links.stop()
 
     asyncio.run(run())
+
+
+def test_reason_tells_a_refused_hello_from_another_message():
+    """Guards against a search for a refusal that the server never sent."""
+
+    async def run():
+        for reply, reason in (
+            (rpc.error_response(0, "no"), "the server refused hello: no"),
+            (
+                rpc.notification("draining", backend.Empty()),
+                "expected the response to hello, received a notification",
+            ),
+            (
+                rpc.request(0, "hello", backend.Empty()),
+                "expected the response to hello, received a request",
+            ),
+            (
+                rpc.response(7, backend.Empty()),
+                "expected the response to hello, received a response",
+            ),
+        ):
+            fixture = Fixture()
+            async with raw_server(framing.encode(reply)) as address:
+                fixture.open(address)
+                assert (await fixture.next_event()).reason.startswith(reason)
+            await fixture.links.stop()
+
+    asyncio.run(run())
