Make transactions of the stand-in atomic

Cause: the stand-in of the store carried out a transaction request by request. A refused one left those before it in place, each write had a revision of its own and watchers could see a part.

Change: all writes are checked first and get one revision; a key may be written once in a transaction, as in etcd. A watch sends all changes of a revision. A range request with a revision in a transaction with a write can still be refused after the write; none of the callers sends that.

--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -210,11 +210,18 @@
 
     def put(self, key: str, value: bytes | None, lease: int = 0) -> int:
         """Write or delete a key, as the platform itself does."""
-        state, raw_key = self.state, key.encode()
+        if value is not None or key.encode() in self.state.entries:
+            self.state.revision += 1
+            self._set_entry(key.encode(), value, lease)
+            self._notify_watchers()
+        return self.state.revision
+
+    def _set_entry(
+        self, raw_key: bytes, value: bytes | None, lease: int
+    ) -> None:
+        """Change an entry at the current revision and log the change."""
+        state = self.state
         previous = state.entries.get(raw_key)
-        if value is None and previous is None:
-            return state.revision
-        state.revision += 1
         entry = None
         if value is None:
             del state.entries[raw_key]
@@ -229,8 +236,6 @@
             state.entries[raw_key] = entry
         now_s = asyncio.get_running_loop().time()
         state.log.append(Change(state.revision, raw_key, entry, now_s))
-        self._notify_watchers()
-        return state.revision
 
     def set_instance(self, name: str, value: bytes | None) -> None:
         """Change or delete an instance after ``instance_lag_ms``."""
@@ -356,24 +361,48 @@
         for compare in body.get("compare", []):
             entry = self.state.entries.get(base64.b64decode(compare["key"]))
             succeeded = succeeded and _matches(entry, compare)
+        requests = body.get("success" if succeeded else "failure", [])
+        # As in etcd, a request that is refused leaves everything as it was,
+        # and all writes of a transaction have one revision.
+        puts = self._decode_puts(requests)
+        if puts:
+            self.state.revision += 1
         responses = []
-        for request in body.get("success" if succeeded else "failure", []):
+        for request in requests:
             if "request_range" in request:
                 response = self._range(request["request_range"])
                 responses.append({"response_range": response})
                 continue
+            key = base64.b64decode(request["request_put"]["key"])
+            self._set_entry(key, *puts[key])
+            responses.append({"response_put": {"header": self._header()}})
+        if puts:
+            self._notify_watchers()
+        response = {"header": self._header(), "responses": responses}
+        return response | {"succeeded": True} if succeeded else response
+
+    def _decode_puts(
+        self, requests: list[dict]
+    ) -> dict[bytes, tuple[bytes, int]]:
+        """Return value and lease of each key that a transaction writes."""
+        puts = {}
+        for request in requests:
+            if "request_put" not in request:
+                continue
             put = request["request_put"]
+            key = base64.b64decode(put["key"])
             value = base64.b64decode(put.get("value", ""))
+            if key in puts:
+                message = "etcdserver: duplicate key given in txn request"
+                raise GatewayError(400, 3, message)
             if len(value) > MAX_VALUE_BYTES:
                 raise GatewayError(400, 3, "etcdserver: request is too large")
             lease = int(put.get("lease", "0"))
             if lease and lease not in self._leases:
                 message = "etcdserver: requested lease not found"
                 raise GatewayError(404, 5, message)
-            self.put(base64.b64decode(put["key"]).decode(), value, lease)
-            responses.append({"response_put": {"header": self._header()}})
-        response = {"header": self._header(), "responses": responses}
-        return response | {"succeeded": True} if succeeded else response
+            puts[key] = (value, lease)
+        return puts
 
     def _grant(self, body: dict) -> dict:
         lease, ttl_s = self._next_lease, int(body["TTL"])
@@ -456,8 +485,10 @@
             changed = self._changed
             visible_until_s = loop.time() - self.faults.watch_lag_ms / 1000
             events = []
+            first_revision = next_revision
             for change in self.state.log:
-                if change.revision < next_revision:
+                # Changes of one transaction have the same revision.
+                if change.revision < first_revision:
                     continue
                 if change.time_s > visible_until_s:
                     break
