Fill the counts of wrong links and exit codes in tests

Cause: the run record of a server had the number of wrong links, which nothing counted and nothing checked, and the report of the features got an empty list of exit codes, so that its check of them could not fail.

Change: the server model counts hellos that name another server, and the account of a run reports them. The step that waits for a balancer's exit adds its code to the report.

--- a/demo/account.py
+++ b/demo/account.py
@@ -130,6 +130,11 @@
     findings = []
     wrong_service = 0
     for server in servers:
+        if server.wrong_links:
+            findings.append(
+                f"{server.server} got {server.wrong_links} hellos that named "
+                "another server"
+            )
         for run in server.runs:
             name = run.payload.split(b" ", 1)[0].decode()
             runs[name].append(run)
--- a/tests/adapters/test_backend_link.py
+++ b/tests/adapters/test_backend_link.py
@@ -71,7 +71,7 @@
 def test_request_is_run_and_lost_link_is_reported():
     async def run():
         fixture = Fixture()
-        async with backend_server() as (_, address):
+        async with backend_server() as (process, address):
             fixture.open(address)
             up = await fixture.next_event()
             assert up.identity.slots == 2
@@ -80,6 +80,7 @@
             fixture.links.send(effects.SendLink(REF, 1, data))
             message = (await fixture.next_event()).message
             assert (message.msgid, message.error) == (5, None)
+            assert process.records().wrong_links == 0
         down = await fixture.next_event()
         assert isinstance(down, events.LinkDown)
         await fixture.links.stop()
@@ -102,6 +103,7 @@
             data = rpc.request(5, "load", backend.Empty())
             fixture.links.send(effects.SendLink(REF, 1, data))
             assert process.model.records == []
+            assert process.records().wrong_links == 1
         assert fixture.counters == {
             "identity_mismatch": 1,
             "link_messages_without_link": 1,
--- a/tests/demo/test_account.py
+++ b/tests/demo/test_account.py
@@ -41,7 +41,7 @@
     return account.RequestRecord(**{**values, **changes})
 
 
-def server(*runs, service="counter", drained_ms=None):
+def server(*runs, service="counter", drained_ms=None, wrong_links=0):
     return server_lib.RunRecords(
         service=service,
         server=f"{service}-1",
@@ -51,7 +51,7 @@
         runs=list(runs),
         flows=[],
         refusals={},
-        wrong_links=0,
+        wrong_links=wrong_links,
     )
 
 
@@ -168,3 +168,11 @@
     fault = account.Fault(str(OWNER), 1000, 1000)
     result = check([request(), unknown], [server(run())], faults=[fault])
     assert result.ok is ok
+
+
+def test_link_to_a_server_of_another_name_is_a_finding():
+    """Guards against balancers that mix up the addresses of servers."""
+    result = check([request()], [server(run(), wrong_links=2)])
+    assert result.findings == [
+        "counter-1 got 2 hellos that named another server"
+    ]
--- a/tests/features/steps/whole_path.py
+++ b/tests/features/steps/whole_path.py
@@ -45,7 +45,7 @@
 @behave.then("the exit code of balancer {number:d} is {code:d}")
 def check_exit_code(context, number, code):
     name = context.dep.balancers[number - 1].name
-    assert context.dep.processes.wait(name, 15) == code
+    assert context.shared_deployment.wait_for_exit(name, 15) == code
 
 
 @behave.when("balancer {number:d} is killed after {seconds:g} s")
--- a/tests/standins/server.py
+++ b/tests/standins/server.py
@@ -35,6 +35,7 @@
     :param ended_ms: time at which the record was taken
     :param flows: ids of the flows that the server still holds
     :param refusals: number of refused requests by error
+    :param wrong_links: number of hellos that named another server
     """
 
     service: str
@@ -56,7 +57,6 @@
     ) -> None:
         self.model = model
         self.drained_ms: int | None = None
-        self.wrong_links = 0
         self._clock = clock
         self._writers: dict[int, asyncio.StreamWriter] = {}
         self._conn_ids = itertools.count(1)
@@ -97,7 +97,7 @@
             runs=self.model.records,
             flows=sorted(self.model.flows),
             refusals=dict(self.model.refusals),
-            wrong_links=self.wrong_links,
+            wrong_links=self.model.wrong_links,
         )
 
     async def _handle_connection(
--- a/tests/standins/server_model.py
+++ b/tests/standins/server_model.py
@@ -152,6 +152,7 @@
         self.records: list[RunRecord] = []
         self.refusals: collections.Counter[str] = collections.Counter()
         self.datagrams: list[backend.Datagram] = []
+        self.wrong_links = 0
         self._flow_table = server_flows.FlowTable(f"{service}/{server}")
         self._rng = rng
         self._started_ms = started_ms
@@ -331,6 +332,8 @@
         hello = _decode_params(message, backend.Hello)
         if (hello.service, hello.server) == (self.service, self.server):
             self._balancer_by_conn[conn] = hello.balancer
+        else:
+            self.wrong_links += 1
         return [Outgoing(conn, rpc.response(message.msgid, self.identity))]
 
     def _handle_load(
--- a/tests/standins/shared_deployment.py
+++ b/tests/standins/shared_deployment.py
@@ -14,8 +14,7 @@
     """Starts the processes when a scenario first needs them.
 
     :ivar faults: balancers that the scenario killed or paused
-    :ivar stop_codes: exit codes for the report; empty because the steps
-        check them
+    :ivar stop_codes: exit codes of the balancers that the scenario stopped
     :ivar callers: caller processes of the scenario, None without any
     """
 
@@ -62,6 +61,12 @@
         )
         self.callers.start()
 
+    def wait_for_exit(self, name, timeout_s):
+        """Return the exit code of a stopped process; add it to the report."""
+        code = self._deployment.processes.wait(name, timeout_s)
+        self.stop_codes.append(code)
+        return code
+
     def run_report(self):
         """Return the report on the requests and feeds of the callers.
 
