Count what reaches another service in the oracle itself

Cause: benchmarks/affinity_token.py counted violations whose text has the words "reached" or "got". A change of a text would have made it report no wrong packets, and a run at another service without a wrong payload was not counted.

Change: the oracle counts these violations where it finds them, a run once. The benchmark reports this count.

The benchmark itself was only imported, not run.

--- a/benchmarks/affinity_token.py
+++ b/benchmarks/affinity_token.py
@@ -202,14 +202,14 @@
         control_bytes_before = fleet.control_bytes
         start_scenario(experiment)
         broken_count, held_count = experiment.finish()
-        wrong_service_count = sum(
-            "reached" in text or "got" in text
-            for text in experiment.oracle.violations
-        )
         seconds = RUN_MS / 1000
         values = (
             ("broken flows", "%", 100 * broken_count / max(1, held_count)),
-            ("wrong-service packets", "packets", wrong_service_count),
+            (
+                "wrong-service packets",
+                "packets",
+                experiment.oracle.wrong_service_count,
+            ),
             (
                 "control bytes",
                 "B/s/node",
--- a/tests/node/oracle.py
+++ b/tests/node/oracle.py
@@ -30,6 +30,8 @@
     :ivar runs: number of runs by session id and sequence number
     :ivar started: session id, sequence number and check of started requests
     :ivar reported: outcomes reported to callers, by the same key
+    :ivar wrong_service_count: runs, answers, packets and events of another
+        service, session or feed
     """
 
     def __init__(self, idempotent):
@@ -40,6 +42,7 @@
         self.reported = {}
         self.outcomes = collections.Counter()
         self.violations = []
+        self.wrong_service_count = 0
         self.run_log = RunLog(self)
 
     def register_session(self, session_id, service):
@@ -56,12 +59,19 @@
             self.violations.append(f"{key} {record.kind} ran twice")
         if Outcome.NOT_RUN in self.reported.get((*key, record.check), ()):
             self.violations.append(f"{key} ran after not_run was reported")
-        if not record.payload.startswith(record.service.encode() + b":"):
+        payload_matches = record.payload.startswith(
+            record.service.encode() + b":"
+        )
+        if not payload_matches:
             self.violations.append(f"{key} reached {record.service}")
-        if self.services.get(record.session_id, record.service) != (
-            record.service
-        ):
+        session_matches = (
+            self.services.get(record.session_id, record.service)
+            == record.service
+        )
+        if not session_matches:
             self.violations.append(f"{key} ran at another service")
+        if not (payload_matches and session_matches):
+            self.wrong_service_count += 1
 
     def report_outcome(self, session_id, seq, check, outcome):
         """Record and check an outcome that was reported to a caller."""
@@ -79,6 +89,7 @@
         if echo != request.payload[:4096] or (
             service != request.session.service
         ):
+            self.wrong_service_count += 1
             self.violations.append(f"{key} got a wrong answer: {payload[:60]}")
         if key not in self.started:
             self.violations.append(f"{key} was answered without a run")
@@ -86,6 +97,7 @@
     def check_packet(self, service, payload):
         """Check the service of a packet, at a server or at its caller."""
         if payload != service.encode() + b":packet":
+            self.wrong_service_count += 1
             self.violations.append(f"{service} got packet {payload}")
 
     def check_lost_feed(self, feed, flow_exists):
@@ -101,6 +113,7 @@
             or int(parts[2]) != feed.ident
             or int(parts[3]) != event.seq
         ):
+            self.wrong_service_count += 1
             self.violations.append(f"feed {feed.ident} got {event.payload}")
 
     def verify(self):
