Remove code that nothing uses

ServerReport, Replicator.is_fetching, etcd_messages.Empty, Window.newest_seq, Feed.last_sent_ms and SimServer.useful_ms are read nowhere in src, tests, benchmarks and demo.

Result: tests/session, tests/feed, tests/scheduling, tests/adapters and tests/control/test_replication.py pass.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -141,7 +141,6 @@
         self.received_while_draining = 0
         self.failure_count = 0
         self.late_work_ms = 0.0
-        self.useful_ms = 0.0
         self.busy_reply_count = 0
         self.slot_ms_by_second: collections.Counter[int] = (
             collections.Counter()
--- a/src/cyclamenridge/adapters/etcd_messages.py
+++ b/src/cyclamenridge/adapters/etcd_messages.py
@@ -108,10 +108,6 @@
     error: StreamError | None = None
 
 
-class Empty(msgspec.Struct, frozen=True):
-    """A response whose content is ignored."""
-
-
 def decode(data: bytes, response_type: type[_T]) -> _T:
     """Decode a response.
 
--- a/src/cyclamenridge/control/replication.py
+++ b/src/cyclamenridge/control/replication.py
@@ -102,11 +102,6 @@
         """Return the first 8 bytes of the document's digest, 0 for none."""
         return transfer.short_digest(self.document)
 
-    @property
-    def is_fetching(self) -> bool:
-        """Return whether a transfer is in progress."""
-        return self._incoming is not None
-
     def adopt(self, document: Document) -> bool:
         """Put a document in force if it is newer and matches its digest."""
         if document.revision <= self.revision:
--- a/src/cyclamenridge/feed/owner.py
+++ b/src/cyclamenridge/feed/owner.py
@@ -196,7 +196,6 @@
             return
         if event.seq > feed.sent_seq:
             feed.sent_seq = event.seq
-            feed.last_sent_ms = now_ms
         data = rpc.notification(
             "event", caller.Event(feed.ident, event.seq, event.payload)
         )
--- a/src/cyclamenridge/feed/state.py
+++ b/src/cyclamenridge/feed/state.py
@@ -62,7 +62,6 @@
         "incarnation",
         "kind",
         "last_attach_ms",
-        "last_sent_ms",
         "last_used_ms",
         "pending_msgid",
         "ref",
@@ -95,7 +94,6 @@
         self.acked_seq = last_seq
         self.attach_seq = last_seq
         self.sent_seq = last_seq
-        self.last_sent_ms = now_ms
         self.last_used_ms = now_ms
         self.last_attach_ms = now_ms
         self.attach_attempt = 0
--- a/src/cyclamenridge/scheduling/types.py
+++ b/src/cyclamenridge/scheduling/types.py
@@ -3,7 +3,6 @@
 import dataclasses
 import enum
 
-from cyclamenridge.wire import backend
 from cyclamenridge.wire import caller
 
 Reason = caller.Reason
@@ -86,15 +85,6 @@
     draining: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerReport:
-    """Load report of a server together with its limits."""
-
-    slots: int
-    connections_limit: int
-    load: backend.Load
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Decisions:
     """Requests to send and to refuse, as returned by ``poll``."""
--- a/src/cyclamenridge/session/window.py
+++ b/src/cyclamenridge/session/window.py
@@ -97,12 +97,11 @@
     without a record has never been accepted.
     """
 
-    __slots__ = ("base_seq", "newest_seq", "records")
+    __slots__ = ("base_seq", "records")
 
     def __init__(self) -> None:
         # Callers number their requests from 1.
         self.base_seq = 1
-        self.newest_seq = 0
         self.records: dict[int, RequestRecord] = {}
 
     def advance(self, seq: int) -> list[RequestRecord] | None:
@@ -123,7 +122,6 @@
         for record in evicted:
             del self.records[record.seq]
         self.base_seq = base_seq
-        self.newest_seq = max(self.newest_seq, seq)
         return evicted
 
     def acknowledge(self, record: RequestRecord) -> None:
