Remove a parameter of handle_event that nothing uses

The time of an event was only stored in Feed.last_sent_ms, which is gone.

Result: tests/feed, tests/caller, tests/cli, tests/app, tests/wire, tests/routing and tests/node pass.

--- a/src/cyclamenridge/feed/owner.py
+++ b/src/cyclamenridge/feed/owner.py
@@ -181,9 +181,7 @@
         if ref is not None:
             self._detach(now_ms, ref, token.ident, token.epoch)
 
-    def handle_event(
-        self, now_ms: int, ref: ServerRef, params: msgspec.Raw
-    ) -> None:
+    def handle_event(self, ref: ServerRef, params: msgspec.Raw) -> None:
         """Forward an event of a server to the caller."""
         try:
             event = _EVENT.decode(params)
--- a/src/cyclamenridge/node/core.py
+++ b/src/cyclamenridge/node/core.py
@@ -238,7 +238,7 @@
     ) -> None:
         """Handle a notification from a server."""
         if notification.method == "event":
-            self._feeds.handle_event(now_ms, ref, notification.params)
+            self._feeds.handle_event(ref, notification.params)
         elif notification.method == "moved":
             self._feeds.handle_moved(ref, notification.params)
         elif notification.method == "draining":
