--- a/tests/adapters/test_backend_link.py
+++ b/tests/adapters/test_backend_link.py
@@ -71,7 +71,7 @@
 def test_request_is_run_and_lost_link_is_reported():
     async def run():
         fixture = Fixture()
-        async with backend_server() as (_, address):
+        async with backend_server() as (process, address):
             fixture.open(address)
             up = await fixture.next_event()
             assert up.identity.slots == 2
@@ -80,6 +80,7 @@
             fixture.links.send(effects.SendLink(REF, 1, data))
             message = (await fixture.next_event()).message
             assert (message.msgid, message.error) == (5, None)
+            assert process.records().wrong_links == 0
         down = await fixture.next_event()
         assert isinstance(down, events.LinkDown)
         await fixture.links.stop()
@@ -102,6 +103,7 @@
             data = rpc.request(5, "load", backend.Empty())
             fixture.links.send(effects.SendLink(REF, 1, data))
             assert process.model.records == []
+            assert process.records().wrong_links == 1
         assert fixture.counters == {
             "identity_mismatch": 1,
             "link_messages_without_link": 1,
@@ -157,3 +159,31 @@
         await fixture.links.stop()
 
     asyncio.run(run())
+
+
+def test_reason_tells_a_refused_hello_from_another_message():
+    """Guards against a search for a refusal that the server never sent."""
+
+    async def run():
+        for reply, reason in (
+            (rpc.error_response(0, "no"), "the server refused hello: no"),
+            (
+                rpc.notification("draining", backend.Empty()),
+                "expected the response to hello, received a notification",
+            ),
+            (
+                rpc.request(0, "hello", backend.Empty()),
+                "expected the response to hello, received a request",
+            ),
+            (
+                rpc.response(7, backend.Empty()),
+                "expected the response to hello, received a response",
+            ),
+        ):
+            fixture = Fixture()
+            async with raw_server(framing.encode(reply)) as address:
+                fixture.open(address)
+                assert (await fixture.next_event()).reason.startswith(reason)
+            await fixture.links.stop()
+
+    asyncio.run(run())
