Refuse records with extreme values

Cause: values nested some thousand levels deep raise RecursionError in the JSON decoder, and a warmup_s of 1e308 raises OverflowError when it is converted to milliseconds. Neither is a ConfigError or StoreError, so they left the decoder and ended the task that reads the store.

Change: the decoder turns both into the error of an invalid record.

--- a/src/cyclamenridge/platform/records.py
+++ b/src/cyclamenridge/platform/records.py
@@ -25,6 +25,15 @@
     "upload": False,
 }
 
+# What decoding raises for an invalid value: also for a number that is too
+# large to convert, and for values nested too deeply.
+_DECODING_ERRORS = (
+    msgspec.MsgspecError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
+
 _NON_HEX = re.compile(r"[^0-9a-fA-F]")
 _IDENT_LIMIT = 2**64
 
@@ -141,7 +150,12 @@
                     aim_ms=route.target_latency_ms,
                     rank=route.priority,
                 )
-        except (msgspec.MsgspecError, ValueError) as exc:
+            warmups = {
+                service.name: _decode_warmup(service)
+                for service in cfg.services
+                if service.warmup_s or service.warmup_per_s
+            }
+        except _DECODING_ERRORS as exc:
             raise errors.ConfigError(f"invalid configuration: {exc}") from exc
         return routes.RouteTable(
             version=cfg.version,
@@ -149,11 +163,7 @@
             services=frozenset(service.name for service in cfg.services),
             idle_ms=cfg.limits.idle_timeout_ms,
             epoch=epoch,
-            warmups={
-                service.name: _decode_warmup(service)
-                for service in cfg.services
-                if service.warmup_s or service.warmup_per_s
-            },
+            warmups=warmups,
         )
 
     def _is_idempotent(self, request_type: str) -> bool:
@@ -181,7 +191,7 @@
             ident = int(digits, 16)
             address = address_lib.Address.parse(server.address)
             state = directory.ServerState(server.state)
-        except (msgspec.MsgspecError, ValueError, errors.ConfigError) as exc:
+        except (*_DECODING_ERRORS, errors.ConfigError) as exc:
             raise errors.StoreError(f"invalid entry {key!r}: {exc}") from exc
         if not 0 < ident < _IDENT_LIMIT or server.slots < 1:
             raise errors.StoreError(
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -109,6 +109,29 @@
             read()
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"services": [{"name": "a", "warmup_s": 1e308}]},
+        {"notes": "NESTED"},
+    ],
+)
+def test_extreme_values_of_a_configuration_are_refused(change):
+    """Other exceptions than ConfigError end the task that reads the store."""
+    value = json.dumps({**CONFIG, **change})
+    value = value.replace('"NESTED"', "[" * 5000 + "]" * 5000)
+    with pytest.raises(errors.ConfigError):
+        RECORDS.decode_config(value.encode())
+
+
+def test_an_entry_with_deeply_nested_values_is_refused():
+    """Other exceptions than StoreError end the task that reads the store."""
+    value = json.dumps({**SERVER, "notes": "NESTED"})
+    value = value.replace('"NESTED"', "[" * 5000 + "]" * 5000)
+    with pytest.raises(errors.StoreError):
+        RECORDS.decode_server("servers/i-1", value.encode(), 1)
+
+
 def test_a_configuration_is_decoded():
     table = RECORDS.decode_config(json.dumps(CONFIG).encode())
     assert table.version == 7
