Check configurations of the platform before they are written

Cause: operators could check files of this project's own format only; what balancers make of a configuration under op/config showed after the write.

Change: config check takes a JSON object as a configuration of the platform. The decoder of the balancers decides what is refused; each value is decoded again on its own, so that all refused values are reported at once. The checks have a module of their own.

--- a/src/cyclamenridge/cli/config.py
+++ b/src/cyclamenridge/cli/config.py
@@ -19,6 +19,8 @@
 from cyclamenridge.config import findings as findings_lib
 from cyclamenridge.config import loader
 from cyclamenridge.config import operator as operator_lib
+import cyclamenridge.errors as errors
+from cyclamenridge.platform import config_check
 
 Outcome = operator_lib.Outcome
 
@@ -40,12 +42,20 @@
         help="Configuration file; - for standard input.",
     ),
 ]
-StoreOption = Annotated[
-    list[str],
+_STORE = typer.Option(
+    "--store",
+    envvar="CYCLAMENRIDGE_STORE",
+    help="URL of a store endpoint; may be repeated.",
+)
+StoreOption = Annotated[list[str], _STORE]
+OptionalStoreOption = Annotated[list[str] | None, _STORE]
+AgainstOption = Annotated[
+    pathlib.Path | None,
     typer.Option(
-        "--store",
-        envvar="CYCLAMENRIDGE_STORE",
-        help="URL of a store endpoint; may be repeated.",
+        exists=True,
+        dir_okay=False,
+        readable=True,
+        help="File with the configuration of the platform in force.",
     ),
 ]
 JsonOption = Annotated[
@@ -63,10 +73,19 @@
 
 
 @app.command()
-def check(file: FileArgument, as_json: JsonOption = False) -> None:
+def check(
+    file: FileArgument,
+    against: AgainstOption = None,
+    as_json: JsonOption = False,
+) -> None:
     """Validate a file without accessing the store."""
     with output.exit_on_error(as_json):
-        config_file = _read_file(file)
+        text = _read_text(file)
+        if _is_platform_config(text):
+            _check_platform_config(text, file, against, as_json)
+            return
+        _refuse_against(against)
+        config_file = loader.parse_file(text, source=str(file))
     if as_json:
         output.print_json({"outcome": "valid", "exit_code": 0})
     else:
@@ -157,11 +176,21 @@
 
 @app.command("diff")
 def diff_command(
-    file: FileArgument, store: StoreOption, as_json: JsonOption = False
+    file: FileArgument,
+    store: OptionalStoreOption = None,
+    against: AgainstOption = None,
+    as_json: JsonOption = False,
 ) -> None:
     """Show the changes that applying a file would make."""
     with output.exit_on_error(as_json):
-        config_file = _read_file(file)
+        text = _read_text(file)
+        if _is_platform_config(text):
+            _diff_platform_configs(text, file, against, as_json)
+            return
+        _refuse_against(against)
+        if not store:
+            raise errors.ConfigError("--store is required")
+        config_file = loader.parse_file(text, source=str(file))
     document = _stored_document(store, as_json)
     with output.exit_on_error(as_json, is_stored_file=True):
         stored_config = loader.parse(document.body, source="<stored>")
@@ -204,10 +233,18 @@
 
     :raises InvalidConfigError: with all findings
     """
+    return loader.parse_file(_read_text(path), source=str(path))
+
+
+def _read_text(path: pathlib.Path) -> str:
+    """Read a file.
+
+    :raises InvalidConfigError: if it is not UTF-8
+    """
     name = str(path)
     data = sys.stdin.buffer.read() if name == "-" else path.read_bytes()
     try:
-        text = data.decode()
+        return data.decode()
     except UnicodeError as exc:
         line = data[: exc.start].count(b"\n") + 1
         raise findings_lib.InvalidConfigError(
@@ -217,7 +254,84 @@
                 ),
             )
         ) from exc
-    return loader.parse_file(text, source=name)
+
+
+def _is_platform_config(text: str) -> bool:
+    """Return whether a file is in JSON, which the own format excludes."""
+    return text.lstrip().startswith("{")
+
+
+def _refuse_against(against: pathlib.Path | None) -> None:
+    if against is not None:
+        raise errors.ConfigError(
+            "--against is for configurations of the platform"
+        )
+
+
+def _read_in_force(path: pathlib.Path) -> config_check.Document:
+    document = config_check.read(_read_text(path), source=str(path))
+    _raise_if_any(config_check.find_refusals(document))
+    return document
+
+
+def _raise_if_any(findings: tuple[findings_lib.Finding, ...]) -> None:
+    if findings:
+        raise findings_lib.InvalidConfigError(findings)
+
+
+def _check_platform_config(
+    text: str, path: pathlib.Path, against: pathlib.Path | None, as_json: bool
+) -> None:
+    new = config_check.read(text, source=str(path))
+    old = None if against is None else _read_in_force(against)
+    _raise_if_any(config_check.find_errors(new, old))
+    warnings = config_check.find_warnings(new)
+    if not as_json:
+        for warning in warnings:
+            typer.echo(f"warning: {warning}", err=True)
+        typer.echo(f"{path}: valid, version {new.table.version}")
+    fields = {
+        "outcome": "valid",
+        "exit_code": 0,
+        "warnings": [output.finding_fields(item) for item in warnings],
+    }
+    _print_platform_changes(old, new, as_json, fields)
+
+
+def _diff_platform_configs(
+    text: str, path: pathlib.Path, against: pathlib.Path | None, as_json: bool
+) -> None:
+    if against is None:
+        raise errors.ConfigError(
+            "--against is required for a configuration of the platform"
+        )
+    new = config_check.read(text, source=str(path))
+    _raise_if_any(config_check.find_refusals(new))
+    _print_platform_changes(_read_in_force(against), new, as_json, {})
+
+
+def _print_platform_changes(
+    old: config_check.Document | None,
+    new: config_check.Document,
+    as_json: bool,
+    fields: dict[str, object],
+) -> None:
+    """Print the changes to a platform configuration, if one is in force.
+
+    :param fields: other fields of the JSON object
+    """
+    if old is not None:
+        changes = config_check.compare(old, new)
+        removed = config_check.find_removed_addresses(old, new)
+        fields["changes"] = [output.change_fields(item) for item in changes]
+        fields["ends_open_flows_of"] = removed
+        if not as_json:
+            for change in changes:
+                typer.echo(str(change))
+            for address in removed:
+                typer.echo(f"ends open flows of {address}")
+    if as_json:
+        output.print_json(fields)
 
 
 def _run_operation(
--- a/src/cyclamenridge/cli/config_output.py
+++ b/src/cyclamenridge/cli/config_output.py
@@ -69,7 +69,7 @@
                     "outcome": "invalid",
                     "exit_code": code,
                     "findings": [
-                        _finding_fields(item) for item in exc.findings
+                        finding_fields(item) for item in exc.findings
                     ],
                 }
             )
@@ -102,7 +102,8 @@
     raise typer.Exit(code)
 
 
-def _finding_fields(finding: findings_lib.Finding) -> dict[str, object]:
+def finding_fields(finding: findings_lib.Finding) -> dict[str, object]:
+    """Return the fields of a finding for JSON output."""
     return {
         "file": finding.file,
         "line": finding.line,
--- a/src/cyclamenridge/config/diff.py
+++ b/src/cyclamenridge/config/diff.py
@@ -57,7 +57,14 @@
 
 def compare(old: model.Config, new: model.Config) -> tuple[Change, ...]:
     """Return the differences, sorted by path."""
-    changes = _compare(to_plain_data(old), to_plain_data(new), ())
+    return compare_data(to_plain_data(old), to_plain_data(new))
+
+
+def compare_data(
+    old: dict[str, PlainValue], new: dict[str, PlainValue]
+) -> tuple[Change, ...]:
+    """Return the differences of plain data, sorted by path."""
+    changes = _compare(old, new, ())
     return tuple(sorted(changes, key=lambda change: change.path))
 
 
--- a/src/cyclamenridge/config/marked_yaml.py
+++ b/src/cyclamenridge/config/marked_yaml.py
@@ -17,6 +17,8 @@
 # Nested mappings and lists. The configuration needs 6 levels; the reader
 # recurses for each level.
 MAX_DEPTH = 16
+# What findings about a key that occurs again allow.
+EACH_KEY_ONCE = "each key once"
 
 _LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 _SCALAR_TAGS = {
@@ -216,7 +218,7 @@
                     line,
                     key_path,
                     f"the key again after line {first_lines[key]}",
-                    "each key once",
+                    EACH_KEY_ONCE,
                 )
             value, last_line = self._read_value(next(self._events), key_path)
             if not path and self._first_key is None:
