Refuse SYNs by the time that their clients have

A SYN waited for a fixed part of its target latency, whatever stood in front of it. Clients that were refused used up their time in three such waits, and the answer to a later try was late. New feeds were admitted while open ones were late already.

The time that a SYN may wait now follows from the answer time of its route, which is learnt from answers. A SYN that the queue keeps from a slot for longer is reset within about 10 ms, at a random time, unless a slot comes free before that. Preferred SYNs with a short queue wait as before. The part of the window for new flows of the lowest rank shrinks while requests on open flows are late.

The test of a refusal at once now needs a queue and a learnt answer time; a second test checks the wait without a queue.

--- a/src/cyclamenridge/flow/admission.py
+++ b/src/cyclamenridge/flow/admission.py
@@ -12,23 +12,24 @@
 from cyclamenridge.flow import routes
 from cyclamenridge.flow import server_stats as stats_lib
 from cyclamenridge.flow import service_window
+from cyclamenridge.flow import syn_wait as syn_wait_lib
 from cyclamenridge.flow import tracking
 from cyclamenridge.flow import waiting
+from cyclamenridge.flow import work as work_lib
 
 # Part of the limit that first SYNs of the lowest rank may use. The rest is for
 # requests on open flows and for higher ranks.
 LOWEST_RANK_PART = 0.75
-# A SYN is refused once it has waited for this part of its target latency, so
-# that a client whose last try is served is still answered in time.
-SYN_WAIT_PART = 1 / 6
-# The same for routes that others rank below. Requests of the lower rank make
-# room for them, so that a longer wait mostly ends with a slot.
-PREFERRED_WAIT_PART = 1 / 3
-# After the retransmission at 200 ms, a SYN cannot be refused any more.
-MAX_SYN_WAIT_MS = 150
-# A request on an open flow is late once it has waited for this part of its
-# target latency; the rest is needed at the server.
-TIMELY_WAIT_PART = 0.5
+# It shrinks by this many times the part of late requests on open flows, to at
+# least the minimum: a new flow may bring more requests that can't be refused.
+LATE_OPEN_FACTOR = 0.8
+MIN_LOWEST_RANK_PART = 0.25
+# Weight of a request that waited, and of a refresh with late ones waiting.
+LATE_OPEN_SMOOTHING = 0.1
+# Factor on the part of late requests at each refresh of the window.
+LATE_OPEN_DECAY = 0.93
+# Shortest wait after which a request on an open flow counts as late.
+MIN_TIMELY_WAIT_MS = 10
 # A request on an open flow cannot be refused here. It waits for this part of
 # its time budget and then goes to its server.
 OPEN_FLOW_WAIT_PART = 0.9
@@ -50,6 +51,8 @@
     :ivar waiting_count: requests that wait, at all services
     :ivar can_place: returns, for a time and a service, whether a new flow may
         go to any of its servers
+    :ivar work: service and answer times by route
+    :ivar syn_wait: how long SYNs may wait
     """
 
     def __init__(
@@ -65,6 +68,8 @@
         self._directory = directory
         self._server_stats = server_stats
         self._windows: dict[str, service_window.ServiceWindow] = {}
+        self.work = work_lib.RouteWork()
+        self.syn_wait = syn_wait_lib.SynWait(self.work)
 
     def window(self, service: str) -> service_window.ServiceWindow:
         """Return the window of a service."""
@@ -93,7 +98,10 @@
             self._refresh(now_ms, service, window)
         limit = window.limit
         if is_late or (server is None and not is_preferred):
-            limit *= LOWEST_RANK_PART
+            limit *= max(
+                MIN_LOWEST_RANK_PART,
+                LOWEST_RANK_PART - LATE_OPEN_FACTOR * window.late_open_part,
+            )
         if window.is_full(now_ms, limit):
             return False
         return server is None or self._has_room(now_ms, window, server)
@@ -114,12 +122,15 @@
         """
         if self.waiting_count >= MAX_WAITING:
             return None
+        is_surplus = False
         if server is None:
-            part = PREFERRED_WAIT_PART if is_preferred else SYN_WAIT_PART
-            wait_ms = min(round(route.aim_ms * part), MAX_SYN_WAIT_MS)
+            wait_ms, is_surplus = self.syn_wait.wait_ms(
+                self.window(service), route, is_preferred=is_preferred
+            )
             late_ms = expires_ms = now_ms + wait_ms
         else:
-            late_ms = now_ms + round(route.aim_ms * TIMELY_WAIT_PART)
+            spare_ms = route.aim_ms - self.work.answer_ms(route)
+            late_ms = now_ms + max(MIN_TIMELY_WAIT_MS, round(spare_ms))
             expires_ms = now_ms + round(
                 route.deadline_ms * OPEN_FLOW_WAIT_PART
             )
@@ -132,6 +143,7 @@
             is_preferred=is_preferred,
             late_ms=late_ms,
             expires_ms=expires_ms,
+            is_surplus=is_surplus,
         )
         self.window(service).queue.push(item)
         self.waiting_count += 1
@@ -171,6 +183,10 @@
             ):
                 item = window.queue.pop(now_ms, can_start)
                 if item is not None:
+                    if item.server is not None:
+                        window.late_open_part += LATE_OPEN_SMOOTHING * (
+                            (item.late_ms <= now_ms) - window.late_open_part
+                        )
                     self.waiting_count -= 1
                     return item
         return None
@@ -221,6 +237,11 @@
     def _refresh(
         self, now_ms: int, service: str, window: service_window.ServiceWindow
     ) -> None:
+        window.late_open_part *= LATE_OPEN_DECAY
+        if window.queue.has_late_open_flow:
+            window.late_open_part += LATE_OPEN_SMOOTHING * (
+                1 - window.late_open_part
+            )
         slots = self._directory.ready_slots(service)
         silent_slots = 0
         closed = set()
--- a/src/cyclamenridge/flow/flow_table.py
+++ b/src/cyclamenridge/flow/flow_table.py
@@ -59,6 +59,16 @@
             return
         entry = rec.pending_server.entry
         self._server_stats.for_server(entry.name).pending -= 1
+        if (
+            answer is not None
+            and not answer.is_refusal
+            and not rec.started.is_syn
+            and rec.route is not None
+        ):
+            elapsed_ms = now_ms - rec.started.started_ms
+            if answer.is_single_packet:
+                elapsed_ms -= service_window.ACK_DELAY_MS
+            self._admission.work.record(rec.route.name, elapsed_ms)
         self._admission.window(entry.service).record_end(
             now_ms, rec.started, answer=answer
         )
--- a/src/cyclamenridge/flow/opening.py
+++ b/src/cyclamenridge/flow/opening.py
@@ -66,6 +66,7 @@
         self._log = log
         self.warmup = warmup_lib.WarmupLimiter(directory=directory, log=log)
         admission.can_place = self.warmup.can_place
+        admission.syn_wait.rng = rng
         # Entries that report the warm-up after an evacuation may be late.
         directory.evacuations.on_withdrawn = self.warmup.assume_cold
 
--- a/src/cyclamenridge/flow/service_window.py
+++ b/src/cyclamenridge/flow/service_window.py
@@ -104,6 +104,8 @@
     :ivar limit: upper bound of ``in_progress``
     :ivar per_slot: requests for each slot of the service, at all balancers
     :ivar foreign_part: part of the flows that other balancers opened
+    :ivar late_open_part: part of the requests on open flows that waited until
+        they were late, recent ones counting more
     """
 
     def __init__(self) -> None:
@@ -112,6 +114,7 @@
         self.per_slot = INITIAL_REQUESTS_PER_SLOT
         self.queue = waiting.WaitingQueue()
         self.foreign_part = INITIAL_FOREIGN_PART
+        self.late_open_part = 0.0
         self._own_demand = 0.0
         self._peer_demand = 0.0
         self._refreshed_ms: int | None = None
@@ -141,6 +144,16 @@
         """Number of requests in progress and waiting."""
         return self.in_progress + len(self.queue)
 
+    @property
+    def handshake_ms(self) -> float:
+        """Mean time from a SYN to the completed handshake."""
+        return self._handshakes.mean_ms
+
+    @property
+    def start_interval_ms(self) -> float:
+        """Mean time between two starts while the window is full."""
+        return self._answers.mean_ms / max(1.0, self.limit)
+
     def refresh(
         self,
         now_ms: int,
--- a/src/cyclamenridge/flow/waiting.py
+++ b/src/cyclamenridge/flow/waiting.py
@@ -28,6 +28,7 @@
     :ivar arrived_ms: arrival of the first packet
     :ivar late_ms: when it becomes too late for a timely answer
     :ivar expires_ms: when it must not wait any longer
+    :ivar is_surplus: whether the queue in front of a SYN is too long for it
     :ivar is_cancelled: whether the flow ended while it waited
     """
 
@@ -36,6 +37,7 @@
         "expires_ms",
         "is_cancelled",
         "is_preferred",
+        "is_surplus",
         "late_ms",
         "packets",
         "record",
@@ -55,6 +57,7 @@
         is_preferred: bool,
         late_ms: int,
         expires_ms: int,
+        is_surplus: bool = False,
     ) -> None:
         self.service = service
         self.route = route
@@ -65,20 +68,26 @@
         self.is_preferred = is_preferred
         self.late_ms = late_ms
         self.expires_ms = expires_ms
+        self.is_surplus = is_surplus
         self.is_cancelled = False
 
 
 class _RouteQueue:
     """SYNs, or requests on open flows, of a route; oldest first."""
 
-    __slots__ = ("late", "rank", "timely")
+    __slots__ = ("_scanned_ms", "is_surplus", "late", "rank", "timely")
 
-    def __init__(self, rank: int) -> None:
+    def __init__(self, rank: int, *, is_surplus: bool) -> None:
         self.rank = rank
+        self.is_surplus = is_surplus
+        self._scanned_ms: int | None = None
         self.timely: collections.deque[Waiting] = collections.deque()
         self.late: collections.deque[Waiting] = collections.deque()
 
     def move_late(self, now_ms: int) -> None:
+        if self.is_surplus:
+            self._move_late_surplus(now_ms)
+            return
         while self.timely and (
             self.timely[0].is_cancelled or self.timely[0].late_ms <= now_ms
         ):
@@ -86,6 +95,20 @@
             if not item.is_cancelled:
                 self.late.append(item)
 
+    def _move_late_surplus(self, now_ms: int) -> None:
+        """Move late requests whose waits differ.
+
+        They wait for a few milliseconds only, so that the queue is short.
+        """
+        if not self.timely or self._scanned_ms == now_ms:
+            return
+        self._scanned_ms = now_ms
+        items, self.timely = self.timely, collections.deque()
+        for item in items:
+            if not item.is_cancelled:
+                is_late = item.late_ms <= now_ms
+                (self.late if is_late else self.timely).append(item)
+
     def pop_timely(
         self, now_ms: int, can_start: Callable[[Waiting], bool]
     ) -> Waiting | None:
@@ -124,24 +147,43 @@
     """
 
     def __init__(self) -> None:
-        # By route and whether they are SYNs; sorted by rank.
-        self._routes: dict[tuple[str, bool], _RouteQueue] = {}
+        # By route, whether they are SYNs and whether these are surplus; sorted
+        # by rank.
+        self._routes: dict[tuple[str, bool, bool], _RouteQueue] = {}
         self._pops = 0
 
     def __len__(self) -> int:
         return sum(len(q.timely) + len(q.late) for q in self._routes.values())
 
+    def count_ahead(self, route: routes.Route) -> int:
+        """Return the timely requests that precede a new SYN of a route."""
+        return sum(
+            len(queue.timely)
+            for queue in self._routes.values()
+            if queue.rank <= route.rank and not queue.is_surplus
+        )
+
+    @property
+    def has_late_open_flow(self) -> bool:
+        """Whether a late request on an open flow waits."""
+        return any(
+            not is_syn and queue.late
+            for (_, is_syn, _), queue in self._routes.items()
+        )
+
     def push(self, item: Waiting) -> None:
         """Add a request."""
-        key = item.route.name, item.server is None
+        key = item.route.name, item.server is None, item.is_surplus
         queue = self._routes.get(key)
         if queue is None or queue.rank != item.route.rank:
-            queue = self._routes.setdefault(key, _RouteQueue(0))
+            queue = self._routes.setdefault(
+                key, _RouteQueue(0, is_surplus=item.is_surplus)
+            )
             queue.rank = item.route.rank
             self._routes = dict(
                 sorted(
                     self._routes.items(),
-                    key=lambda pair: (pair[1].rank, pair[0][1]),
+                    key=lambda pair: (pair[1].rank, pair[0][1:]),
                 )
             )
         queue.timely.append(item)
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -7,6 +7,7 @@
 from cyclamenridge.flow import packet as packet_lib
 from cyclamenridge.flow import routes
 from cyclamenridge.flow import service_window
+from cyclamenridge.flow import syn_wait
 from cyclamenridge.flow import tracking
 from cyclamenridge.flow import waiting
 from tests.flow import builders
@@ -118,14 +119,31 @@
     """Its client would learn nothing before its time budget is over."""
     core = builders.make_core(*SERVERS)
     fill(core)
+    core.admission.work.record("feed", 75)
+    for number in range(20):
+        builders.Flow(core, client_port=500 + number).syn(0)
     flow = builders.Flow(core, client_port=1)
     assert flow.syn(0) == effects.DROP
-    wait_ms = round(FEED.aim_ms * admission.SYN_WAIT_PART)
-    assert 1 not in dict(released(core, wait_ms - 1))
-    assert dict(released(core, wait_ms))[1] == effects.RESET
+    assert dict(released(core, syn_wait.MIN_SYN_WAIT_MS))[1] == effects.RESET
     assert core.counters["openings_refused"] >= 1
 
 
+def test_a_syn_that_may_be_served_in_time_waits_for_a_slot():
+    """A part of its spare time is left for the client's other tries."""
+    core = builders.make_core(*SERVERS)
+    fill(core)
+    list(core.release(150))
+    window = core.admission.window("counter")
+    assert not len(window.queue)
+    flow = builders.Flow(core, client_port=1)
+    assert flow.syn(150) == effects.DROP
+    spare_ms = FEED.aim_ms - window.handshake_ms
+    spare_ms -= core.admission.work.answer_ms(FEED)
+    wait_ms = round(syn_wait.SYN_WAIT_PART * spare_ms)
+    assert 1 not in dict(released(core, 150 + wait_ms - 1))
+    assert dict(released(core, 150 + wait_ms))[1] == effects.RESET
+
+
 def test_no_syn_is_refused_while_answers_pass_other_balancers():
     """With packets spread at random, the count of requests is too high."""
     core = builders.make_core(*SERVERS)
