Count surplus SYNs and measure refusal at 33 balancers

With long target latencies SYNs of the lowest rank were surplus too early, since their queue was assumed to take 1.5 times the mean interval of starts. The factor now holds for preferred routes only.

--- a/src/cyclamenridge/flow/opening.py
+++ b/src/cyclamenridge/flow/opening.py
@@ -101,6 +101,8 @@
         """Return what to do with a SYN that must not wait any longer."""
         if not self._admission.can_refuse(item.service):
             return self.start_waiting(now_ms, item)
+        if item.is_surplus:
+            self._counters["openings_surplus"] += 1
         rec = item.record
         rec.waiting = None
         return self.refuse_opening(
--- a/src/cyclamenridge/flow/syn_wait.py
+++ b/src/cyclamenridge/flow/syn_wait.py
@@ -25,9 +25,10 @@
 MIN_SYN_WAIT_MS = 10
 # After the retransmission at 200 ms, a SYN cannot be refused any more.
 MAX_SYN_WAIT_MS = 150
-# The time in a queue is this many times what the mean interval of starts says:
-# handshakes use slots too, and higher ranks arrive meanwhile.
-QUEUE_TIME_FACTOR = 1.5
+# The queue of preferred SYNs takes this many times what the mean interval of
+# starts says: other SYNs of their rank arrive meanwhile, and handshakes use
+# slots too. With this factor for the lowest rank, slots stayed unused.
+PREFERRED_QUEUE_FACTOR = 1.5
 # Weight of a new SYN in the mean time that the queue of a route takes.
 QUEUE_SMOOTHING = 0.03
 
@@ -62,7 +63,9 @@
         part = PREFERRED_WAIT_PART if is_preferred else SYN_WAIT_PART
         wait_ms = max(MIN_SYN_WAIT_MS, part * spare_ms)
         ahead = window.queue.count_ahead(route)
-        queue_ms = QUEUE_TIME_FACTOR * (ahead + 1) * window.start_interval_ms
+        queue_ms = (ahead + 1) * window.start_interval_ms
+        if is_preferred:
+            queue_ms *= PREFERRED_QUEUE_FACTOR
         mean_ms = self._queue_ms.get(route.name, 0.0)
         mean_ms += QUEUE_SMOOTHING * (queue_ms - mean_ms)
         self._queue_ms[route.name] = mean_ms
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -126,6 +126,27 @@
     assert flow.syn(0) == effects.DROP
     assert dict(released(core, syn_wait.MIN_SYN_WAIT_MS))[1] == effects.RESET
     assert core.counters["openings_refused"] >= 1
+    assert core.counters["openings_surplus"] >= 1
+    # Copies that were in queues, and the retransmission, open no flow.
+    assert flow.syn(syn_wait.MIN_SYN_WAIT_MS) == effects.RESET
+    assert flow.syn(200, retransmission=1) == effects.RESET
+
+
+def test_a_surplus_syn_uses_a_slot_that_comes_free_early():
+    """It was refused although a server was idle."""
+    core = builders.make_core(*SERVERS)
+    busy = fill(core)
+    core.admission.work.record("feed", 75)
+    for number in range(20):
+        builders.Flow(core, client_port=500 + number).syn(0)
+    core.admission.syn_wait.rng.uniform = lambda low, high: high
+    flow = builders.Flow(core, client_port=1)
+    assert flow.syn(0) == effects.DROP
+    for other in busy:
+        other.acknowledge(syn_wait.MIN_SYN_WAIT_MS // 2)
+    core.admission.window("counter").is_full = lambda *_: False
+    outs = dict(released(core, syn_wait.MIN_SYN_WAIT_MS // 2))
+    assert isinstance(outs[1][0], effects.Forward)
 
 
 def test_a_syn_that_may_be_served_in_time_waits_for_a_slot():
--- a/tests/flow/test_load.py
+++ b/tests/flow/test_load.py
@@ -1,5 +1,7 @@
 """Plays load above the capacity and checks what callers get."""
 
+import functools
+
 import pytest
 
 from cyclamenridge.flow import admission
@@ -90,3 +92,46 @@
 ):
     feed, push, run = play(feed_per_s, push_per_s, **options)
     assert feed.in_aim + push.in_aim >= 0.85 * run
+
+
+@functools.cache
+def play_at_33_balancers(feed_per_s, push_per_s, slow):
+    """Return in aim over run, and the part that servers refused.
+
+    The load for each slot is that of the plays above.
+    """
+    model = load_model.LoadModel(
+        [
+            load_model.Kind("feed", builders.FEED_PORT, feed_per_s, 30, True),
+            load_model.Kind("push", builders.PUSH_PORT, push_per_s, 39, False),
+        ],
+        servers=60,
+        balancers=33,
+        domains=("a", "b", "c"),
+        slow=slow,
+        slowdown=5.0,
+    )
+    run = model.run(2000)
+    in_aim = sum(outcome.in_aim for outcome in model.outcomes.values())
+    return in_aim / run, model.refused_part()
+
+
+PLAYS_AT_33_BALANCERS = [(3400, 860, 0), (5100, 1370, 0), (5100, 1370, 17)]
+
+
+@pytest.mark.parametrize(
+    ("feed_per_s", "push_per_s", "slow"), PLAYS_AT_33_BALANCERS
+)
+def test_answers_of_33_balancers_are_in_aim(feed_per_s, push_per_s, slow):
+    in_aim_part, _ = play_at_33_balancers(feed_per_s, push_per_s, slow)
+    assert in_aim_part >= 0.85
+
+
+@pytest.mark.parametrize(
+    ("feed_per_s", "push_per_s", "slow"), PLAYS_AT_33_BALANCERS
+)
+def test_servers_refuse_few_requests_of_33_balancers(
+    feed_per_s, push_per_s, slow
+):
+    _, refused_part = play_at_33_balancers(feed_per_s, push_per_s, slow)
+    assert refused_part < 0.02
