--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -765,3 +765,15 @@
     for now_ms in range(100, 500, 100):
         core.sweep(now_ms)
     assert builders.forwards(flow.request(500))
+
+
+def test_fewer_new_flows_start_while_requests_on_open_flows_are_late():
+    """Each new feed brought more requests that could not be refused."""
+    core = builders.make_core(*SERVERS)
+    fill(core)
+    window = core.admission.window("counter")
+    window.in_progress = round(window.limit / 2)
+    window.late_open_part = 1.0
+    assert not core.admission.can_start(5, "counter", None, is_preferred=False)
+    window.late_open_part = 0.0
+    assert core.admission.can_start(5, "counter", None, is_preferred=False)
