--- a/src/cyclamenridge/flow/flow_table.py
+++ b/src/cyclamenridge/flow/flow_table.py
@@ -64,14 +64,14 @@
             if answer.is_refusal:
                 stats.record_refusal(now_ms)
             elif rec.route is not None:
+                answer_ms = answer.elapsed_ms(now_ms - rec.started.started_ms)
                 self._server_stats.record_answer_time(
                     now_ms,
                     entry.name,
                     route=rec.route.name,
-                    answer_ms=answer.elapsed_ms(
-                        now_ms - rec.started.started_ms
-                    ),
+                    answer_ms=answer_ms,
                 )
+                self._admission.work.record(rec.route.name, answer_ms)
         self._admission.window(entry.service).record_end(
             now_ms, rec.started, answer=answer
         )
--- a/src/cyclamenridge/flow/opening.py
+++ b/src/cyclamenridge/flow/opening.py
@@ -66,6 +66,7 @@
         self._log = log
         self.warmup = warmup_lib.WarmupLimiter(directory=directory, log=log)
         admission.can_place = self.warmup.can_place
+        admission.syn_wait.rng = rng
         # Entries that report the warm-up after an evacuation may be late.
         directory.evacuations.on_withdrawn = self.warmup.assume_cold
 
@@ -100,6 +101,8 @@
         """Return what to do with a SYN that must not wait any longer."""
         if not self._admission.can_refuse(item.service):
             return self.start_waiting(now_ms, item)
+        if item.is_surplus:
+            self._counters["openings_surplus"] += 1
         rec = item.record
         rec.waiting = None
         return self.refuse_opening(
