Let routes with less work go first within a rank

Cause: operators want what is delayed or turned away to be what costs callers least, by the work that it needs too. The service time of each route was learnt but not used.

Change: within a rank, new flows of routes with less work go first, with one of eight starts for the route with the most; short requests do not count long ones in front of them, so that long ones are refused first. A deployment with one route for each rank and service is served as before.

--- a/src/cyclamenridge/flow/admission.py
+++ b/src/cyclamenridge/flow/admission.py
@@ -143,6 +143,7 @@
             is_preferred=is_preferred,
             late_ms=late_ms,
             expires_ms=expires_ms,
+            work_ms=self.work.service_ms(route.name),
             is_surplus=is_surplus,
         )
         self.window(service).queue.push(item)
--- a/src/cyclamenridge/flow/syn_wait.py
+++ b/src/cyclamenridge/flow/syn_wait.py
@@ -62,7 +62,9 @@
         spare_ms -= self._work.answer_ms(route)
         part = PREFERRED_WAIT_PART if is_preferred else SYN_WAIT_PART
         wait_ms = max(MIN_SYN_WAIT_MS, part * spare_ms)
-        ahead = window.queue.count_ahead(route)
+        ahead = window.queue.count_ahead(
+            route, self._work.service_ms(route.name)
+        )
         queue_ms = (ahead + 1) * window.start_interval_ms
         if is_preferred:
             queue_ms *= PREFERRED_QUEUE_FACTOR
--- a/src/cyclamenridge/flow/waiting.py
+++ b/src/cyclamenridge/flow/waiting.py
@@ -16,7 +16,8 @@
 # newest request is served first: it can still be answered in time.
 STANDING_QUEUE_MS = 30
 # Every so many requests, a lower rank goes first, so that a flood of the
-# highest rank does not stop the others.
+# highest rank does not stop the others. As often, SYNs of the routes with the
+# most work precede others of their rank.
 FLOOR_INTERVAL = 8
 
 
@@ -28,6 +29,7 @@
     :ivar arrived_ms: arrival of the first packet
     :ivar late_ms: when it becomes too late for a timely answer
     :ivar expires_ms: when it must not wait any longer
+    :ivar work_ms: time that a request of the route needs at a server
     :ivar is_surplus: whether the queue in front of a SYN is too long for it
     :ivar is_cancelled: whether the flow ended while it waited
     """
@@ -44,6 +46,7 @@
         "route",
         "server",
         "service",
+        "work_ms",
     )
 
     def __init__(
@@ -57,6 +60,7 @@
         is_preferred: bool,
         late_ms: int,
         expires_ms: int,
+        work_ms: float = 0.0,
         is_surplus: bool = False,
     ) -> None:
         self.service = service
@@ -68,6 +72,7 @@
         self.is_preferred = is_preferred
         self.late_ms = late_ms
         self.expires_ms = expires_ms
+        self.work_ms = work_ms
         self.is_surplus = is_surplus
         self.is_cancelled = False
 
@@ -75,11 +80,21 @@
 class _RouteQueue:
     """SYNs, or requests on open flows, of a route; oldest first."""
 
-    __slots__ = ("_scanned_ms", "is_surplus", "late", "rank", "timely")
+    __slots__ = (
+        "_scanned_ms",
+        "is_surplus",
+        "is_syn",
+        "late",
+        "rank",
+        "timely",
+        "work_ms",
+    )
 
-    def __init__(self, rank: int, *, is_surplus: bool) -> None:
-        self.rank = rank
-        self.is_surplus = is_surplus
+    def __init__(self, item: Waiting) -> None:
+        self.rank = item.route.rank
+        self.work_ms = item.work_ms
+        self.is_syn = item.server is None
+        self.is_surplus = item.is_surplus
         self._scanned_ms: int | None = None
         self.timely: collections.deque[Waiting] = collections.deque()
         self.late: collections.deque[Waiting] = collections.deque()
@@ -139,28 +154,45 @@
     return None
 
 
+def _longest_first(queues: list[_RouteQueue]) -> list[_RouteQueue]:
+    """Return the queues of a rank, those of new flows with most work first."""
+    return sorted(queues, key=lambda q: (q.is_syn, q.is_surplus, -q.work_ms))
+
+
 class WaitingQueue:
     """Waiting requests of one service.
 
     Higher ranks go first. Within a rank, requests that can be answered in
-    time precede late ones, and open flows precede new ones.
+    time precede late ones, and open flows precede new ones. New flows of
+    routes with less work precede others: a slot that one long request takes
+    serves several short ones.
     """
 
     def __init__(self) -> None:
         # By route, whether they are SYNs and whether these are surplus; sorted
-        # by rank.
+        # by rank and work.
         self._routes: dict[tuple[str, bool, bool], _RouteQueue] = {}
         self._pops = 0
 
     def __len__(self) -> int:
         return sum(len(q.timely) + len(q.late) for q in self._routes.values())
 
-    def count_ahead(self, route: routes.Route) -> int:
-        """Return the timely requests that precede a new SYN of a route."""
+    def count_ahead(self, route: routes.Route, work_ms: float) -> int:
+        """Return the timely requests that precede a new SYN of a route.
+
+        :param work_ms: time that a request of the route needs at a server
+        """
         return sum(
             len(queue.timely)
-            for queue in self._routes.values()
-            if queue.rank <= route.rank and not queue.is_surplus
+            for (name, is_syn, is_surplus), queue in self._routes.items()
+            if not is_surplus
+            and queue.rank <= route.rank
+            and not (
+                is_syn
+                and name != route.name
+                and queue.rank == route.rank
+                and queue.work_ms > work_ms
+            )
         )
 
     @property
@@ -175,19 +207,27 @@
         """Add a request."""
         key = item.route.name, item.server is None, item.is_surplus
         queue = self._routes.get(key)
-        if queue is None or queue.rank != item.route.rank:
-            queue = self._routes.setdefault(
-                key, _RouteQueue(0, is_surplus=item.is_surplus)
-            )
-            queue.rank = item.route.rank
-            self._routes = dict(
-                sorted(
-                    self._routes.items(),
-                    key=lambda pair: (pair[1].rank, pair[0][1:]),
-                )
-            )
+        if queue is None:
+            queue = self._routes[key] = _RouteQueue(item)
+            self._sort()
+        elif (queue.rank, queue.work_ms) != (item.route.rank, item.work_ms):
+            queue.rank, queue.work_ms = item.route.rank, item.work_ms
+            self._sort()
         queue.timely.append(item)
 
+    def _sort(self) -> None:
+        self._routes = dict(
+            sorted(
+                self._routes.items(),
+                key=lambda pair: (
+                    pair[1].rank,
+                    pair[1].is_syn,
+                    pair[1].is_surplus,
+                    pair[1].work_ms,
+                ),
+            )
+        )
+
     def pop(
         self, now_ms: int, can_start: Callable[[Waiting], bool]
     ) -> Waiting | None:
@@ -199,6 +239,8 @@
         groups = list(ranks.values())
         if len(groups) > 1 and self._pops % FLOOR_INTERVAL == 0:
             groups.append(groups.pop(0))
+        if self._pops % FLOOR_INTERVAL == FLOOR_INTERVAL // 2:
+            groups = [_longest_first(group) for group in groups]
         for group in groups:
             for queue in group:
                 item = queue.pop_timely(now_ms, can_start)
--- a/tests/flow/test_admission.py
+++ b/tests/flow/test_admission.py
@@ -62,7 +62,7 @@
     return outs
 
 
-def make_item(now_ms, route=FEED, server=None, *, late_ms=100):
+def make_item(now_ms, route=FEED, server=None, *, late_ms=100, work_ms=0.0):
     return waiting.Waiting(
         now_ms,
         service="counter",
@@ -72,9 +72,69 @@
         is_preferred=route is PUSH,
         late_ms=now_ms + late_ms,
         expires_ms=now_ms + 2 * late_ms,
+        work_ms=work_ms,
     )
 
 
+REPORT = msgspec.structs.replace(FEED, name="report", port=9443)
+
+
+def test_short_requests_of_a_rank_precede_long_ones():
+    """One long request took the slot of several short ones."""
+    queue = waiting.WaitingQueue()
+    server = builders.make_core(*SERVERS).directory.get(SERVERS[0].name)
+    for _ in range(3):
+        queue.push(make_item(0, REPORT, work_ms=300))
+    queue.push(make_item(0, FEED, work_ms=30))
+    queue.push(make_item(0, REPORT, server, work_ms=300))
+    queue.push(make_item(0, PUSH, work_ms=400))
+    names = [
+        (item.route.name, item.server is None) for item in pop_all(queue, 1)
+    ]
+    # The first start is one of those that lower ranks get.
+    assert names[:4] == [
+        ("report", False),
+        ("push", True),
+        ("feed", True),
+        ("report", True),
+    ]
+
+
+def test_long_requests_get_one_of_eight_starts():
+    """Many short requests of their rank must not stop them."""
+    queue = waiting.WaitingQueue()
+    for _ in range(4):
+        queue.push(make_item(0, REPORT, work_ms=300))
+    for _ in range(40):
+        queue.push(make_item(0, FEED, work_ms=30))
+    names = [item.route.name for item in pop_all(queue, 1)]
+    interval = waiting.FLOOR_INTERVAL
+    for start in range(0, 4 * interval, interval):
+        assert names[start : start + interval].count("report") == 1
+
+
+def test_a_long_request_that_does_not_fit_is_refused_before_short_ones():
+    """A slot that it takes serves several short ones in time."""
+    core = builders.make_core(*SERVERS)
+    work = core.admission.work
+    for _ in range(100):
+        work.record("feed", 20)
+        work.record("report", 100)
+    window = core.admission.window("counter")
+    window.limit = 10.0
+    for _ in range(2):
+        window.queue.push(make_item(0, FEED, work_ms=work.service_ms("feed")))
+    waits = core.admission.syn_wait
+    assert not waits.wait_ms(window, FEED, is_preferred=False)[1]
+    for _ in range(10):
+        window.queue.push(
+            make_item(0, REPORT, work_ms=work.service_ms("report"))
+        )
+    # Long requests in front do not keep a short one from its slot.
+    assert not waits.wait_ms(window, FEED, is_preferred=False)[1]
+    assert waits.wait_ms(window, REPORT, is_preferred=False)[1]
+
+
 def pop_all(queue, now_ms):
     items = []
     while (item := queue.pop(now_ms, lambda item: True)) is not None:
