Test a renumbered document through the gateway of the store

Cause: files of a restored store were tested with the simulated fleet only, whose store compares no values.

Change: a test with the adapter and the stand-in of the store: the file is read, written back with the next revision, and written once although two writes are sent.

--- a/tests/adapters/test_store_platform.py
+++ b/tests/adapters/test_store_platform.py
@@ -9,6 +9,7 @@
 import cyclamenridge.address as address_lib
 from cyclamenridge.config import document as document_lib
 from cyclamenridge.config import operator
+from cyclamenridge.control import store_schedule
 from cyclamenridge.node import effects
 from cyclamenridge.node import events
 from tests.standins import platform
@@ -94,6 +95,44 @@
     asyncio.run(run())
 
 
+def test_renumbered_document_replaces_the_one_of_the_restored_store():
+    """Guards against a renumbered file that the store does not take, or that
+    two balancers renumber one after the other.
+    """
+
+    async def run():
+        async with running_platform() as (stand_in, adapter, emitted, _):
+            first = document_lib.successor(None, body="1", apply_id="0-a")
+            lost = document_lib.successor(first, body="2", apply_id="1-b")
+            another = document_lib.successor(first, body="3", apply_id="1-c")
+            stand_in.put(operator.KEY, document_lib.encode(first))
+            stand_in.take_snapshot()
+            stand_in.put(operator.KEY, document_lib.encode(lost))
+            stand_in.restore_snapshot()
+            stand_in.put(operator.KEY, document_lib.encode(another))
+            adapter.read()
+            await waiting.until(lambda: emitted)
+            watcher = store_schedule.StoreWatcher(
+                "b1", random.Random(1), collections.Counter()
+            )
+            (write,) = watcher.handle_read(0, emitted[0], lost)
+            adapter.write(write)
+            adapter.write(write)
+            await waiting.until(lambda: len(emitted) == 3)
+            renumbered = document_lib.renumbered(another, lost)
+            assert renumbered.history == ((2, "1-b"), (1, "0-a"))
+            assert [event.document for event in emitted[1:]] == [
+                renumbered,
+                renumbered,
+            ]
+            entry = stand_in.state.entries[operator.KEY.encode()]
+            assert document_lib.decode(entry.value) == renumbered
+            assert entry.version == 3
+            assert not watcher.handle_read(10, emitted[2], renumbered)
+
+    asyncio.run(run())
+
+
 def test_document_that_is_too_large_to_write_is_a_failure():
     """Guards against an exception that nobody handles: the apply ids of two
     histories can make a document too large for the store.
