Raise the limit for each slot faster where targets leave time

The limit for each slot rose by 3% every 100 ms.

Change: the rise takes up to five such steps at once, in proportion to how far answers are below 0.6 of their target.

--- a/src/cyclamenridge/flow/service_window.py
+++ b/src/cyclamenridge/flow/service_window.py
@@ -17,6 +17,8 @@
 ANSWER_TIME_PART = 0.6
 LIMIT_DECREASE_FACTOR = 0.85
 LIMIT_INCREASE_FACTOR = 1.03
+# Bound on the steps of the increase that are taken at once.
+MAX_INCREASE_STEPS = 5.0
 # A burst reaches all balancers before their beacons tell of it. At first the
 # window is at most this many times the even part of the slots. It grows by the
 # second factor at each refresh while it is full and its share allows more.
@@ -240,8 +242,12 @@
         elif self.per_slot < bound or (
             self._was_full and self._refused_part < TOLERATED_REFUSED_PART
         ):
+            # Answers far below their target leave time for longer queues.
+            slack = ANSWER_TIME_PART / max(self._answer_part, 0.01)
+            steps = min(max(slack, 1.0), MAX_INCREASE_STEPS)
             self.per_slot = min(
-                MAX_REQUESTS_PER_SLOT, self.per_slot * LIMIT_INCREASE_FACTOR
+                MAX_REQUESTS_PER_SLOT,
+                self.per_slot * LIMIT_INCREASE_FACTOR**steps,
             )
         else:
             self.per_slot = max(bound, self.per_slot / LIMIT_INCREASE_FACTOR)
