Restore the bound on refusals at 33 balancers

A bound is not to be moved to a measured figure.

Change: the bound is 0.8 again for both cases, as the test was written.

--- a/tests/flow/test_server_choice.py
+++ b/tests/flow/test_server_choice.py
@@ -129,13 +129,11 @@
 
 
 @pytest.mark.parametrize(
-    ("balancers", "servers", "refusing", "seeds", "max_part"),
-    # With 33 balancers, each sees one answer a second of a server, and most
-    # requests come over flows that are open already.
-    [(5, 9, 2, range(1, 7), 0.8), (33, 60, 6, range(1, 4), 0.9)],
+    ("balancers", "servers", "refusing", "seeds"),
+    [(5, 9, 2, range(1, 7)), (33, 60, 6, range(1, 4))],
 )
 def test_servers_that_refuse_get_fewer_requests(
-    monkeypatch, balancers, servers, refusing, seeds, max_part
+    monkeypatch, balancers, servers, refusing, seeds
 ):
     """Load: 50% of the capacity; some servers refuse 40% of it.
 
@@ -151,7 +149,7 @@
         refusing=refusing,
         refused_part=0.4,
     )
-    assert after.server_refusals <= max_part * before.server_refusals
+    assert after.server_refusals <= 0.8 * before.server_refusals
     # Callers whose three tries were all refused.
     assert after.refused <= 0.02 * after.asked
     assert after.in_aim >= 0.95 * after.asked
