review: a restarted balancer misses what changed between stale pages

Cause: PlatformStore.range takes the revision of the first page for the whole list. With stale reads, a later page can be older than the first, and what changed in between is neither on the page nor in the watch. In the shared stand-ins: warm-ups of backends, ends of tasks that are cancelled while a wait ends.

--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -54,6 +54,7 @@
         work_s: Callable[[int], float],
         slots: int = 2,
         max_connections: int = 2000,
+        warmup_s: float = 0.0,
         rng: random.Random,
     ) -> None:
         self.ident = ident
@@ -62,7 +63,7 @@
         self.host = host
         self.port = 0
         self.state = "ready"
-        self.warmup_left_ms = 0
+        self._warm_s = time.monotonic() + warmup_s
         self.work_s = work_s
         self.max_connections = max_connections
         self.is_listening = True
@@ -122,7 +123,9 @@
             "version": "v1",
             "slots": self._slot_count,
             "state": self.state,
-            "warmup_left_ms": self.warmup_left_ms,
+            "warmup_left_ms": max(
+                0, round(1000 * (self._warm_s - time.monotonic()))
+            ),
             "born": self._born,
         }
         if entry != self._written or not self._is_stored(entry):
--- a/review/lib/client.py
+++ b/review/lib/client.py
@@ -127,7 +127,8 @@
 
     async def _wait(self, wait_s: float) -> None:
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._event.wait(), wait_s)
+            async with asyncio.timeout(wait_s):
+                await self._event.wait()
         self._event.clear()
 
     def handle(self, packet: wire.Packet, addr: tuple[str, int]) -> None:
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -428,11 +428,12 @@
 
     async def stop(self) -> None:
         """End everything that was started."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
         for balancer in self.balancers:
             balancer.end()
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=2)
         for backend in self.backends:
             backend.stop()
         for clients in self.clients.values():
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import random
 import time
@@ -166,7 +167,6 @@
                 revision = self.revision
                 await asyncio.sleep(ANSWER_S)
                 return 200, {"events": events, "store_revision": revision}
-            try:
-                await asyncio.wait_for(changed.wait(), left_s)
-            except TimeoutError:
-                continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await changed.wait()
