review: case 1 replaces backends in place of repeated warm-ups

Change: each is replaced by a new one that starts first; the old one drains and leaves, one a second, as in a release.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,9 +17,11 @@
 ZONE = "z0"
 ROUNDS = 9
 FIRST_PORT = 9000
-# The pages' largest share of backends that a release replaces is 0.48.
-WARMUP_MS = 6000
+# How long a backend of Bellbird is slow after its start.
+WARMUP_S = 2.0
+RELEASE_GAP_S = 1.0
 BUDGET_S = 3.0
+DRAIN_S = deployment.BOUNDS["drain_ms"] / 1000
 
 names = itertools.count(1)
 
@@ -48,17 +50,32 @@
             dep.spawn(use_route(dep, port))
 
 
-async def release(backends: list[backend_lib.Backend]) -> None:
-    """Restart the backends of another service one after the other.
+async def release(
+    dep: deployment.Deployment, backends: list[backend_lib.Backend]
+) -> None:
+    """Replace the backends of another service one after the other.
 
-    Each tells at its heartbeats how much longer it is cold.
+    The new one starts first, the old one drains and then ends.
     """
-    for backend in itertools.cycle(backends):
-        backend.warmup_left_ms = WARMUP_MS
-        backend.write_entry()
-        await asyncio.sleep(0.7)
-        for other in backends:
-            other.warmup_left_ms = max(0, other.warmup_left_ms - 700)
+    backends = list(backends)
+    while True:
+        backends.append(
+            await dep.add_backend(
+                "workshop", ZONE, work_s=lambda _: 0.04, warmup_s=WARMUP_S
+            )
+        )
+        dep.spawn(leave(dep, backends.pop(0)))
+        await asyncio.sleep(RELEASE_GAP_S)
+
+
+async def leave(
+    dep: deployment.Deployment, backend: backend_lib.Backend
+) -> None:
+    """Let a backend drain and end."""
+    backend.drain()
+    await asyncio.sleep(DRAIN_S + 1)
+    backend.stop()
+    dep.store.remove(backend.key)
 
 
 async def run(dep: deployment.Deployment, trouble: bool) -> list[str]:
@@ -67,12 +84,12 @@
     await dep.start((ZONE,) * 3)
     for _ in range(4):
         await dep.add_backend("counter", ZONE, work_s=lambda _: 0.04, slots=8)
-    for _ in range(3):
+    for _ in range(4):
         await dep.add_backend("workshop", ZONE, work_s=lambda _: 0.04)
     dep.configure({**routes, 8999: ("safe", "workshop")})
     await dep.wait_ready()
     ports = [FIRST_PORT]
-    dep.spawn(release(dep.backends[4:]))
+    dep.spawn(release(dep, dep.backends[4:]))
     dep.spawn(use_routes(dep, ports, rate=30))
     await asyncio.sleep(4)
     for number in range(ROUNDS):
