review: case 1 opens more flows on added routes

Cause: with 30 flows a second, some runs of case 1 found one broken flow only, so that a run could miss the fault by chance. Change: 60 flows a second; nothing else.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -90,7 +90,7 @@
     await dep.wait_ready()
     ports = [FIRST_PORT]
     dep.spawn(release(dep, dep.backends[4:]))
-    dep.spawn(use_routes(dep, ports, rate=30))
+    dep.spawn(use_routes(dep, ports, rate=60))
     await asyncio.sleep(4)
     for number in range(ROUNDS):
         if trouble:
