Forward flows whose route is not known yet

Callers with an open flow on a route that was just added got a reset from a balancer that did not have the route.

Cause: a route missing from the table of the process was taken for a route that a configuration had dropped. Balancers follow the configuration with up to a second between them, and a restart moves nearly all flows to other balancers. Ruled out: an older configuration that comes back (the resets end as soon as the process has the version) and unknown tokens (dropped, not reset).

Change: an unknown route is no reason for a reset. A flow is reset once its route is known to be dropped: this process tracked it while it had the route and the store then returned a configuration without it, or the store, asked after the flow's first packet arrived here, has none that is newer. A configuration from a peer or a stale read needs that confirmation, too.

The same belief elsewhere: a retransmitted or late SYN without a route was reset although another balancer may have opened the flow; a first SYN is still reset at once. Left alone: packets with an unknown token are dropped.

The log tells the cases apart: route_unknown, route_dropped with had_route, no_route with reset.

--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -17,6 +17,7 @@
 from cyclamenridge.flow import placement
 from cyclamenridge.flow import reachability as reachability_lib
 from cyclamenridge.flow import refusals
+from cyclamenridge.flow import route_drops
 from cyclamenridge.flow import routes as routes_lib
 from cyclamenridge.flow import selection
 from cyclamenridge.flow import server_stats as stats_lib
@@ -80,6 +81,7 @@
         self._log = log
         self._table = flow_table.FlowTable(self.server_stats, self.admission)
         self._refusals = refusals.RefusalDetector()
+        self._drops = route_drops.RouteDrops()
         self._resets = flow_resets.FlowResets(
             directory=self.directory,
             server_stats=self.server_stats,
@@ -105,6 +107,7 @@
             ),
             evidence=self._evidence,
             table=self._table,
+            drops=self._drops,
             counters=self.counters,
             rng=rng,
             log=log,
@@ -121,11 +124,16 @@
         """Return whether new flows can be placed."""
         return self.routes is not None and len(self.directory) > 0
 
-    def configure(self, table: routes_lib.RouteTable) -> bool:
+    def configure(
+        self, table: routes_lib.RouteTable, *, is_current: bool = True
+    ) -> bool:
         """Apply a configuration; return False unless it is newer.
 
         The store may lose a version that was not confirmed to the operator,
         who then writes another one with the same number.
+
+        :param is_current: whether the store returned it as the newest one; a
+            peer or a stale read may be behind
         """
         if self.routes is not None and (table.version, table.epoch) <= (
             self.routes.version,
@@ -133,9 +141,18 @@
         ):
             return False
         self.routes = table
+        self._drops.record_configuration(is_current=is_current)
         self._opener.set_routes(table)
         return True
 
+    def confirm_configuration(self, asked_ms: int) -> None:
+        """Record that the store has none newer than the one in force.
+
+        :param asked_ms: when the store was asked
+        """
+        if self.routes is not None:
+            self._drops.record_confirmation(asked_ms)
+
     def record_store_answer(self, now_ms: int) -> bool:
         """Record an answer of the store; return whether it was lost before."""
         self.last_store_answer_ms = now_ms
@@ -160,20 +177,20 @@
         self.reachability.record_activity(now_ms)
         if packet.flags & SYN:
             if self.routes is None:
-                return self._refuse_without_routes(packet)
+                return self._refuse_without_routes(now_ms, packet)
             return self._opener.handle_syn(now_ms, packet, datagram)
         return self._handle_established(now_ms, packet, datagram)
 
     def _refuse_without_routes(
-        self, packet: packet_lib.Packet
+        self, now_ms: int, packet: packet_lib.Packet
     ) -> effects.Effects:
         """Reset a SYN while neither the store nor a peer answers.
 
-        Another balancer may have forwarded the first SYN of a client that
-        sends a retransmission.
+        Another balancer may have forwarded a SYN that its client may have
+        retransmitted.
         """
         self.counters["packets_before_configuration"] += 1
-        if self.store_lost and packet.ack == 0:
+        if self.store_lost and self._opener.is_first_syn(now_ms, packet):
             return effects.RESET
         return effects.DROP
 
@@ -246,15 +263,12 @@
                 store_revision=self.directory.position.revision,
             )
             return effects.DROP
-        if self.routes is not None and (
-            self.routes.find(packet.host, packet.port) is None
-        ):
-            self.counters["route_dropped"] += 1
-            self._log.flow_event(
-                now_ms, "route_dropped", packet, config=self.routes.version
-            )
-            return effects.RESET
-        rec = self._track_packet(now_ms, packet, server)
+        route = None
+        if self.routes is not None:
+            route = self.routes.find(packet.host, packet.port)
+            if route is None and self._is_route_dropped(now_ms, packet):
+                return effects.RESET
+        rec = self._track_packet(now_ms, packet, server, route)
         if rec is not None and self._resets.should_reset(
             now_ms, packet, rec, server, store_lost=self.store_lost
         ):
@@ -269,11 +283,36 @@
             return effects.DROP
         return (opening.forward_to(server),)
 
+    def _is_route_dropped(
+        self, now_ms: int, packet: packet_lib.Packet
+    ) -> bool:
+        """Return whether the missing route of an open flow was dropped.
+
+        Otherwise another balancer, which is ahead, has opened the flow. Its
+        token is enough to forward its packets.
+        """
+        assert self.routes is not None
+        rec = self._table.records.get(tracking.flow_key(packet))
+        is_dropped = rec is not None and self._drops.is_dropped(rec)
+        event = "route_dropped" if is_dropped else "route_unknown"
+        if is_dropped or rec is None:
+            self.counters[event] += 1
+            self._log.flow_event(
+                now_ms,
+                event,
+                packet,
+                config=self.routes.version,
+                tracked_ms=None if rec is None else now_ms - rec.opened_ms,
+                had_route=rec is not None and rec.route is not None,
+            )
+        return is_dropped
+
     def _track_packet(
         self,
         now_ms: int,
         packet: packet_lib.Packet,
         server: directory_lib.Server,
+        route: routes_lib.Route | None,
     ) -> tracking.FlowRecord | None:
         """Update the flow's record and the statistics of its server.
 
@@ -283,14 +322,13 @@
         name = server.entry.name
         rec = self._table.records.get(key)
         if rec is None:
-            route = None
-            if self.routes is not None:
-                route = self.routes.find(packet.host, packet.port)
             rec = tracking.FlowRecord(now_ms, route)
             self._table.records[key] = rec
             self.admission.window(server.entry.service).record_flow(
                 is_foreign=True
             )
+        elif rec.route is None:
+            rec.route = route
         rec.last_packet_ms = now_ms
         if rec.server is not None and rec.server is not server:
             self._change_server(rec, server)
--- a/src/cyclamenridge/flow/opening.py
+++ b/src/cyclamenridge/flow/opening.py
@@ -12,6 +12,7 @@
 from cyclamenridge.flow import packet as packet_lib
 from cyclamenridge.flow import placement as placement_lib
 from cyclamenridge.flow import reachability as reachability_lib
+from cyclamenridge.flow import route_drops
 from cyclamenridge.flow import routes as routes_lib
 from cyclamenridge.flow import server_stats as stats_lib
 from cyclamenridge.flow import tracking
@@ -48,6 +49,7 @@
         placement: placement_lib.Placement,
         evidence: evidence_lib.ServerEvidence,
         table: flow_table.FlowTable,
+        drops: route_drops.RouteDrops,
         counters: collections.Counter[str],
         rng: random.Random,
         log: log_port.FlowLog,
@@ -61,6 +63,7 @@
         self._placement = placement
         self._evidence = evidence
         self._table = table
+        self._drops = drops
         self._counters = counters
         self._rng = rng
         self._log = log
@@ -116,11 +119,7 @@
         assert self.routes is not None
         route = self.routes.find(packet.host, packet.port)
         if route is None:
-            self._counters["flows_without_route"] += 1
-            self._log.flow_event(
-                now_ms, "no_route", packet, config=self.routes.version
-            )
-            return effects.RESET
+            return self._refuse_without_route(now_ms, packet)
         key = tracking.flow_key(packet)
         rec = self._table.records.get(key)
         if rec is None or rec.syn_seq != packet.seq:
@@ -128,10 +127,7 @@
                 self._table.end(now_ms, rec)
             rec = tracking.FlowRecord(now_ms, route)
             rec.syn_seq = packet.seq
-            rec.saw_first_syn = (
-                packet.ack == 0
-                and not self._reachability.may_read_late(now_ms)
-            )
+            rec.saw_first_syn = self.is_first_syn(now_ms, packet)
             rec.next_seq = (packet.seq + 1) & 0xFFFFFFFF
             self._table.records[key] = rec
             self._counters["flows_opened"] += 1
@@ -184,6 +180,43 @@
             return effects.DROP
         return self._queue_syn(now_ms, packet, datagram, rec, service)
 
+    def is_first_syn(self, now_ms: int, packet: packet_lib.Packet) -> bool:
+        """Return whether a client has certainly sent no SYN before.
+
+        Other balancers may have forwarded retransmissions of a SYN that is
+        read late here.
+        """
+        return packet.ack == 0 and not self._reachability.may_read_late(now_ms)
+
+    def _refuse_without_route(
+        self, now_ms: int, packet: packet_lib.Packet
+    ) -> effects.Effects:
+        """Reset a SYN without a route.
+
+        A retransmission is dropped: another balancer, which already knows the
+        route, may have opened the flow.
+        """
+        assert self.routes is not None
+        rec = self._table.records.get(tracking.flow_key(packet))
+        is_dropped = (
+            rec is not None
+            and rec.syn_seq == packet.seq
+            and self._drops.is_dropped(rec)
+        )
+        is_refused = is_dropped or self.is_first_syn(now_ms, packet)
+        if is_refused:
+            self._counters["flows_without_route"] += 1
+        else:
+            self._counters["retransmissions_without_route"] += 1
+        self._log.flow_event(
+            now_ms,
+            "no_route",
+            packet,
+            config=self.routes.version,
+            reset=is_refused,
+        )
+        return effects.RESET if is_refused else effects.DROP
+
     def _queue_syn(
         self,
         now_ms: int,
--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -330,7 +330,9 @@
             ) from exc
         is_changed = False
         if snapshot.routes is not None:
-            is_changed = self._core.configure(snapshot.routes)
+            is_changed = self._core.configure(
+                snapshot.routes, is_current=False
+            )
         directory = self._core.directory
         position = position_lib.Position(snapshot.epoch, snapshot.revision)
         if position > directory.position:
--- a/src/cyclamenridge/store_follower.py
+++ b/src/cyclamenridge/store_follower.py
@@ -54,6 +54,8 @@
         self._has_answer = False
         # Epoch of the last complete read. A peer may tell of a later one.
         self._read_epoch = 0
+        # Whether the newest configuration that the store returned is valid.
+        self._is_config_valid = True
 
     async def start(self) -> None:
         """Start the task that reads and watches the store."""
@@ -132,7 +134,9 @@
         refused = []
         for entry in result.entries:
             if self._records.is_config(entry.key):
-                self._apply_config(entry.value, position.epoch)
+                self._apply_config(
+                    entry.value, position.epoch, is_current=not stale
+                )
             elif self._records.is_evacuation(entry.key):
                 domain = self._records.evacuated_domain(entry.key)
                 orders[domain] = position_lib.Position(
@@ -157,6 +161,8 @@
         self._core.directory.evacuations.replace(
             now_ms, position, orders, source="store"
         )
+        if not stale:
+            self._confirm_config(asked_ms)
         self._settle(now_ms, asked_ms)
         self._core.counters["store_reads"] += 1
         self._core.counters["entries_held"] += len(listing.held)
@@ -198,6 +204,7 @@
             position = position_lib.Position(start.epoch, batch.revision)
             self._core.directory.advance(position)
             evacuations.advance(position)
+            self._confirm_config(asked_ms)
             self._settle(now_ms, asked_ms)
             if batch.changes or not is_confirmed:
                 # A stale read may list servers that have left. The first
@@ -277,16 +284,28 @@
             self._log.process_event("entry_refused", key=key, error=str(exc))
             return None
 
-    def _apply_config(self, value: bytes, epoch: int) -> None:
+    def _confirm_config(self, asked_ms: int) -> None:
+        """Record that the newest configuration is in force.
+
+        :param asked_ms: when the store was asked
+        """
+        if self._is_config_valid:
+            self._core.confirm_configuration(asked_ms)
+
+    def _apply_config(
+        self, value: bytes, epoch: int, *, is_current: bool = True
+    ) -> None:
         try:
             table: routes.RouteTable = self._records.decode_config(
                 value, epoch=epoch
             )
         except errors.ConfigError as exc:
+            self._is_config_valid = False
             self._core.counters["configurations_refused"] += 1
             self._log.process_event("configuration_refused", error=str(exc))
             return
-        if self._core.configure(table):
+        self._is_config_valid = True
+        if self._core.configure(table, is_current=is_current):
             self._log.process_event(
                 "configured",
                 version=table.version,
--- a/tests/platform/test_store_follower.py
+++ b/tests/platform/test_store_follower.py
@@ -9,6 +9,7 @@
 
 from cyclamenridge import clock as clock_lib
 import cyclamenridge.errors as errors
+from cyclamenridge.flow import effects
 from cyclamenridge.flow import reachability
 from cyclamenridge.platform import records
 from cyclamenridge.ports import store as store_port
@@ -467,3 +468,32 @@
 
     loop.run_until_complete(run())
     loop.close()
+
+
+@pytest.mark.parametrize(
+    ("config", "is_reset"), [(None, True), (b"{", False), (b"{}", False)]
+)
+def test_a_batch_of_the_watch_confirms_a_configuration(config, is_reset):
+    """A stale read, or an unreadable configuration, proves no route gone."""
+
+    async def run():
+        store = ScriptedStore(state_at(5))
+        clock = clock_lib.MonotonicClock()
+        async with running_follower(store, clock) as (core, _):
+            await asyncio.sleep(0.02)
+            flow = builders.Flow(core, port=9999)
+            flow.token = 1
+            assert builders.forwards(flow.request(clock.now_ms()))
+            store.batches.put_nowait(store_port.WatchBatch(6, ()))
+            await asyncio.sleep(0.02)
+            # The call that this batch answers was made before the packet.
+            assert builders.forwards(flow.request(clock.now_ms()))
+            changes = ()
+            if config is not None:
+                changes = (store_port.Change("op/config", config, 7),)
+            store.batches.put_nowait(store_port.WatchBatch(7, changes))
+            await asyncio.sleep(0.02)
+            out = flow.request(clock.now_ms())
+            assert (out == effects.RESET) is is_reset
+
+    asyncio.run(run())
