Run the test of confirmed configurations on a manual clock

On the real clock the packet and the call could fall into the same millisecond, in which case nothing is confirmed; the test then failed once beside load.

--- a/tests/platform/test_store_follower.py
+++ b/tests/platform/test_store_follower.py
@@ -478,22 +478,27 @@
 
     async def run():
         store = ScriptedStore(state_at(5))
-        clock = clock_lib.MonotonicClock()
+        clock = clock_lib.ManualClock()
         async with running_follower(store, clock) as (core, _):
-            await asyncio.sleep(0.02)
+
+            def has_applied(revision):
+                return core.directory.position.revision == revision
+
+            await waiting.until(lambda: has_applied(5))
             flow = builders.Flow(core, port=9999)
             flow.token = 1
-            assert builders.forwards(flow.request(clock.now_ms()))
+            assert builders.forwards(flow.request(clock.advance(10)))
+            clock.advance(10)
             store.batches.put_nowait(store_port.WatchBatch(6, ()))
-            await asyncio.sleep(0.02)
+            await waiting.until(lambda: has_applied(6))
             # The call that this batch answers was made before the packet.
-            assert builders.forwards(flow.request(clock.now_ms()))
+            assert builders.forwards(flow.request(clock.advance(10)))
             changes = ()
             if config is not None:
                 changes = (store_port.Change("op/config", config, 7),)
             store.batches.put_nowait(store_port.WatchBatch(7, changes))
-            await asyncio.sleep(0.02)
-            out = flow.request(clock.now_ms())
+            await waiting.until(lambda: has_applied(7))
+            out = flow.request(clock.advance(10))
             assert (out == effects.RESET) is is_reset
 
     asyncio.run(run())
