Reset no flows for slow requests where a domain has no balancer

Cause: missing beacons were taken for a sign that the domain is cut off, and one retransmission to each of two servers for lost packets. A domain without balancers sends no beacons, and a client retransmits the single packet of a request after 0.2 s whenever the work takes longer. Ruled out: removed entries of the servers (flow_given_up had removed=false) and losses (none on loopback; a packet was never retransmitted for the second time).

Change: a reset needs a packet of an open flow that was retransmitted twice, at two servers of the domain. Servers acknowledge every second packet, thus the first retransmission at once, so that this does not happen to a request that only takes long. Copies read at once after a pause do not count, nor do SYNs, which full servers ignore. A balancer that stops says so in its last beacon, and no beacons are expected of its domain if it was the last one there.

The same belief elsewhere: new flows go on avoiding a domain by the weaker evidence, as that can be taken back. ServerLiveness asks for a removed entry, which is a statement of the store.

--- a/src/cyclamenridge/flow/core.py
+++ b/src/cyclamenridge/flow/core.py
@@ -33,9 +33,6 @@
 OPENING_TIMEOUT_MS = 1500
 SWEEP_INTERVAL_MS = 500
 RELEASE_INTERVAL_MS = 10
-# Clients retransmit data after 200 ms without an acknowledgement. Old data
-# that arrives sooner than this after newer data was reordered by the network.
-MIN_RETRANSMISSION_MS = 150
 
 
 class FlowCore:
@@ -352,6 +349,7 @@
             acked_bytes = (packet.ack - rec.acked) & 0xFFFFFFFF
             rec.acked = packet.ack
             rec.retransmissions = 0
+            rec.retransmitted_seq = None
             self._evidence.record_answer(now_ms, server)
             if rec.pending_server is not None:
                 self._end_request(now_ms, rec, acked_bytes)
@@ -412,12 +410,15 @@
         if rec.waiting is not None:
             self.counters["late_copies"] += 1
             return
-        if now_ms - rec.newest_data_ms < MIN_RETRANSMISSION_MS:
+        if now_ms - rec.newest_data_ms < tracking.MIN_RETRANSMISSION_MS:
             self.counters["packets_reordered"] += 1
             return
         rec.retransmissions += 1
         self.counters["packets_repeated"] += 1
         self._evidence.record_retransmission(now_ms, key, server)
+        if rec.is_retransmitted_again(now_ms, packet.seq):
+            self.counters["packets_lost"] += 1
+            self._evidence.record_loss(now_ms, server)
 
     def _begin_request(
         self,
--- a/src/cyclamenridge/flow/evidence.py
+++ b/src/cyclamenridge/flow/evidence.py
@@ -36,6 +36,16 @@
         ):
             self._log.server_event(now_ms, "server_silent", name)
 
+    def record_loss(self, now_ms: int, server: directory_lib.Server) -> None:
+        """Record the second retransmission of a packet on an open flow.
+
+        A server that gets a packet and its retransmission acknowledges them
+        at once. SYNs do not count: a server that is full ignores them.
+        """
+        self._reachability.record_loss(
+            now_ms, server.entry.failure_domain, server.entry.name
+        )
+
     def record_answer(self, now_ms: int, server: directory_lib.Server) -> None:
         """Record that a client acknowledged data of a server."""
         name = server.entry.name
--- a/src/cyclamenridge/flow/flow_resets.py
+++ b/src/cyclamenridge/flow/flow_resets.py
@@ -117,7 +117,7 @@
             return False
         domain = server.entry.failure_domain
         return (
-            self._reachability.is_unreachable(now_ms, domain)
+            self._reachability.is_cut_off(now_ms, domain)
             and self._has_other_responsive_server(now_ms, server)
             and not any(
                 other.entry.failure_domain != domain
--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -54,6 +54,7 @@
     :param epoch: epoch of the store that the revision belongs to
     :param demand: requests in progress and waiting by service, None if the
         sender does not tell
+    :param leaving: whether this is the sender's last beacon
     """
 
     name: str
@@ -65,6 +66,7 @@
     members: list[str]
     epoch: int = 0
     demand: dict[str, int] | None = None
+    leaving: bool = False
 
 
 class Snapshot(msgspec.Struct, frozen=True):
@@ -205,7 +207,13 @@
         else:
             admission.peer_scale = None
 
-    def encode_beacon(self, *, request_reply: bool = False) -> bytes:
+    def hosts(self) -> list[str]:
+        """Return the addresses of all peers."""
+        return list(self._peers)
+
+    def encode_beacon(
+        self, *, request_reply: bool = False, leaving: bool = False
+    ) -> bytes:
         """Return a beacon with the current state."""
         loads = []
         for name, stats in self._core.server_stats.items():
@@ -234,6 +242,7 @@
                 members,
                 self._core.directory.position.epoch,
                 demand,
+                leaving,
             )
         )
 
@@ -250,6 +259,9 @@
             raise errors.ControlError(
                 f"cannot decode beacon of {host}: {exc}"
             ) from exc
+        if beacon.leaving:
+            self._remove_leaver(host, beacon.failure_domain)
+            return BeaconAction()
         peer = self._peers.get(host)
         is_new = peer is None
         if peer is None:
@@ -276,6 +288,21 @@
             self._next_pull_ms = now_ms + PULL_INTERVAL_MS
         return BeaconAction(reply=beacon.asks or is_new, pull=pull)
 
+    def _remove_leaver(self, host: str, failure_domain: str) -> None:
+        """Remove a peer that ends as planned.
+
+        Its silence must not look like a cut of its failure domain.
+        """
+        peer = self._peers.pop(host, None)
+        if peer is not None:
+            self._replace_loads(peer, {})
+        self._unheard_hosts.pop(host, None)
+        if not any(
+            other.failure_domain == failure_domain
+            for other in self._peers.values()
+        ):
+            self._core.reachability.forget_beacons(failure_domain)
+
     def _is_behind(self, now_ms: int, beacon: Beacon) -> bool:
         """Return whether to catch up from a peer instead of the store."""
         directory = self._core.directory
--- a/src/cyclamenridge/flow/reachability.py
+++ b/src/cyclamenridge/flow/reachability.py
@@ -1,6 +1,7 @@
 """Detection of failure domains that this process cannot reach."""
 
 import collections
+from collections.abc import Mapping
 
 # The balancers of a reachable domain send several beacons within this time.
 BEACON_TIMEOUT_MS = 700
@@ -10,8 +11,8 @@
 # Servers with retransmissions since the last answer of their domain. A single
 # server may have died while the domain's only balancer restarts.
 MIN_UNANSWERED_SERVERS = 2
-# Retransmissions older than this do not count: a process that rarely sends to
-# a domain may wait long for an answer that clears them.
+# Retransmissions and losses older than this do not count: a process that
+# rarely sends to a domain may wait long for an answer that clears them.
 RETRANSMISSION_TTL_MS = 1500
 # A process without a packet or a tick for this long was paused. Queued
 # datagrams are then read late, packets of clients possibly before beacons.
@@ -31,14 +32,21 @@
 
     :ivar retransmission_times: time of the last retransmission by server
         name, since the last answer of the domain
+    :ivar loss_times: the same for packets that were retransmitted again
     """
 
-    __slots__ = ("last_answer_ms", "last_beacon_ms", "retransmission_times")
+    __slots__ = (
+        "last_answer_ms",
+        "last_beacon_ms",
+        "loss_times",
+        "retransmission_times",
+    )
 
     def __init__(self) -> None:
         self.last_beacon_ms: int | None = None
         self.last_answer_ms = 0
         self.retransmission_times: dict[str, int] = {}
+        self.loss_times: dict[str, int] = {}
 
 
 class DomainReachability:
@@ -46,6 +54,10 @@
 
     Neither is sufficient alone: the balancers of a domain may have died while
     its servers live, and a saturated link loses packets to all domains.
+
+    New flows avoid a domain that seems unreachable. An open flow is reset only
+    if its domain is cut off for certain: requests that take long are
+    retransmitted once as well, but servers acknowledge every second packet.
     """
 
     def __init__(self, failure_domain: str) -> None:
@@ -87,12 +99,20 @@
         """Record a beacon of a balancer of a domain."""
         self._domains[domain].last_beacon_ms = now_ms
 
+    def forget_beacons(self, domain: str) -> None:
+        """Record that the last balancer of a domain has left.
+
+        No beacon is expected from the domain until it sends one again.
+        """
+        self._domains[domain].last_beacon_ms = None
+
     def record_answer(self, now_ms: int, domain: str) -> None:
         """Record an answer of a server of a domain."""
         evidence = self._domains[domain]
         evidence.last_answer_ms = now_ms
         if evidence.retransmission_times:
             evidence.retransmission_times.clear()
+            evidence.loss_times.clear()
 
     def record_retransmission(
         self, now_ms: int, domain: str, server: str
@@ -100,8 +120,20 @@
         """Record a retransmitted packet to a server of a domain."""
         self._domains[domain].retransmission_times[server] = now_ms
 
+    def record_loss(self, now_ms: int, domain: str, server: str) -> None:
+        """Record a packet to a server that was retransmitted again."""
+        self._domains[domain].loss_times[server] = now_ms
+
+    def is_cut_off(self, now_ms: int, domain: str) -> bool:
+        """Return whether no packet of this process reaches a domain."""
+        return (
+            self.is_unreachable(now_ms, domain)
+            and _count_recent(now_ms, self._domains[domain].loss_times)
+            >= MIN_UNANSWERED_SERVERS
+        )
+
     def is_unreachable(self, now_ms: int, domain: str) -> bool:
-        """Return whether a domain cannot be reached from this process."""
+        """Return whether a domain seems unreachable from this process."""
         evidence = self._domains.get(domain)
         return (
             evidence is not None
@@ -110,9 +142,12 @@
             and evidence.last_beacon_ms is not None
             and now_ms - evidence.last_beacon_ms >= BEACON_TIMEOUT_MS
             and now_ms - evidence.last_answer_ms >= ANSWER_TIMEOUT_MS
-            and sum(
-                now_ms - sent_ms < RETRANSMISSION_TTL_MS
-                for sent_ms in evidence.retransmission_times.values()
-            )
+            and _count_recent(now_ms, evidence.retransmission_times)
             >= MIN_UNANSWERED_SERVERS
         )
+
+
+def _count_recent(now_ms: int, times: Mapping[str, int]) -> int:
+    return sum(
+        now_ms - time_ms < RETRANSMISSION_TTL_MS for time_ms in times.values()
+    )
--- a/src/cyclamenridge/flow/tracking.py
+++ b/src/cyclamenridge/flow/tracking.py
@@ -14,6 +14,10 @@
     from cyclamenridge.flow import service_window
     from cyclamenridge.flow import waiting
 
+# Clients retransmit data after 200 ms without an acknowledgement. Old data
+# that arrives sooner than this after newer data was reordered by the network.
+MIN_RETRANSMISSION_MS = 150
+
 FlowKey = tuple[int, int, int, int]
 
 
@@ -37,6 +41,8 @@
     :ivar pending_since_ms: start of that wait
     :ivar started: the same in the window of the service
     :ivar retransmissions: retransmitted packets since the last answer
+    :ivar retransmitted_seq: sequence number of the newest of them
+    :ivar retransmitted_ms: when that packet was first retransmitted
     """
 
     __slots__ = (
@@ -51,6 +57,8 @@
         "pending_server",
         "pending_since_ms",
         "retransmissions",
+        "retransmitted_ms",
+        "retransmitted_seq",
         "route",
         "saw_first_syn",
         "server",
@@ -79,6 +87,24 @@
         self.pending_since_ms = 0
         self.started: service_window.Started | None = None
         self.retransmissions = 0
+        self.retransmitted_seq: int | None = None
+        self.retransmitted_ms = 0
+
+    def is_retransmitted_again(self, now_ms: int, seq: int) -> bool:
+        """Record a retransmission; return whether the one before was lost.
+
+        Retransmissions that are read at once, after a pause of this process,
+        left the server no time to acknowledge the first of them.
+        """
+        newest = self.retransmitted_seq
+        if newest is None or is_seq_after(seq, newest):
+            self.retransmitted_seq = seq
+            self.retransmitted_ms = now_ms
+            return False
+        return (
+            seq == newest
+            and now_ms - self.retransmitted_ms >= MIN_RETRANSMISSION_MS
+        )
 
     def is_unsent(self) -> bool:
         """Return whether the SYN was certainly sent to no server.
--- a/src/cyclamenridge/peer_link.py
+++ b/src/cyclamenridge/peer_link.py
@@ -55,6 +55,9 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        data = self._peers.encode_beacon(leaving=True)
+        for host in self._peers.hosts():
+            self._send_to(host, data)
         self._beacons.close()
         await self._server.stop()
 
