Refuse records with fields out of range at the boundary

An operator reported that one odd entry among those of the servers ended the processes that read the list.

Cause: the types of the fields were checked, not their ranges, and only the decoders of the store's records handled errors other than MsgspecError.

Addresses have to be ones that a machine can have. Ports of routes over 65535 stay without effect, as before.

--- a/src/cyclamenridge/address.py
+++ b/src/cyclamenridge/address.py
@@ -1,19 +1,26 @@
 """Network addresses of endpoints."""
 
 import ipaddress
+from typing import Annotated
 
 import msgspec
 
 from cyclamenridge import errors
 
+_PORT_DIGITS = 5
+# Limits the length of error messages.
+_MAX_QUOTED = 60
+# Any other host would be looked up by name.
+_IPV4_PATTERN = r"^[0-9]{1,3}(\.[0-9]{1,3}){3}\Z"
+
 
 # An Address is created and hashed for each datagram; a msgspec struct takes a
 # fifth of the time that a dataclass takes for both.
 class Address(msgspec.Struct, frozen=True, order=True, gc=False):
     """An IPv4 address with a port."""
 
-    host: str
-    port: int
+    host: Annotated[str, msgspec.Meta(pattern=_IPV4_PATTERN)]
+    port: Annotated[int, msgspec.Meta(ge=0, le=65535)]
 
     @classmethod
     def parse(cls, text: str) -> "Address":
@@ -23,14 +30,20 @@
         """
         host, _, port = text.rpartition(":")
         try:
-            address = cls(str(ipaddress.IPv4Address(host)), int(port))
+            host = str(ipaddress.IPv4Address(host))
         except ValueError as exc:
             raise errors.ConfigError(
-                f"{text!r} is not an IPv4 address with a port"
+                f"{text[:_MAX_QUOTED]!r} is not an IPv4 address with a port"
             ) from exc
-        if not 0 < address.port < 65536:
-            raise errors.ConfigError(f"port of {text!r} is out of range")
-        return address
+        if not (port.isascii() and port.isdecimal()):
+            raise errors.ConfigError(
+                f"{text[:_MAX_QUOTED]!r} is not an IPv4 address with a port"
+            )
+        if len(port) > _PORT_DIGITS or not 0 < int(port) < 65536:
+            raise errors.ConfigError(
+                f"port of {text[:_MAX_QUOTED]!r} is out of range"
+            )
+        return cls(host, int(port))
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
--- a/src/cyclamenridge/flow/directory.py
+++ b/src/cyclamenridge/flow/directory.py
@@ -10,6 +10,7 @@
 
 from cyclamenridge import address as address_lib
 from cyclamenridge.flow import evacuation
+from cyclamenridge.flow import fields
 from cyclamenridge.flow import holds
 from cyclamenridge.flow import position as position_lib
 from cyclamenridge.flow import warmup_ends
@@ -34,17 +35,17 @@
     :param epoch: epoch of the store that the revision belongs to
     """
 
-    name: str
+    name: fields.Name
     ident: int
-    service: str
+    service: fields.Name
     address: address_lib.Address
-    failure_domain: str
-    slots: int
+    failure_domain: fields.Name
+    slots: fields.Count
     state: ServerState
-    warmup_ms: int
-    born_ms: int
-    revision: int
-    epoch: int = 0
+    warmup_ms: fields.Duration
+    born_ms: fields.Timestamp
+    revision: fields.Version
+    epoch: fields.Version = 0
 
     @property
     def position(self) -> Position:
--- a/src/cyclamenridge/flow/peers.py
+++ b/src/cyclamenridge/flow/peers.py
@@ -9,6 +9,7 @@
 from cyclamenridge.flow import core as core_lib
 from cyclamenridge.flow import directory as directory_lib
 from cyclamenridge.flow import evacuation
+from cyclamenridge.flow import fields
 from cyclamenridge.flow import position as position_lib
 from cyclamenridge.flow import routes as routes_lib
 
@@ -60,11 +61,11 @@
     name: str
     failure_domain: str
     asks: bool
-    version: int
-    revision: int
+    version: fields.Version
+    revision: fields.Version
     loads: list[Load]
     members: list[str]
-    epoch: int = 0
+    epoch: fields.Version = 0
     demand: dict[str, int] | None = None
     leaving: bool = False
 
@@ -78,10 +79,10 @@
     """
 
     routes: routes_lib.RouteTable | None
-    revision: int
+    revision: fields.Version
     servers: list[directory_lib.ServerEntry]
     removed: list[directory_lib.ServerEntry]
-    epoch: int = 0
+    epoch: fields.Version = 0
     evacuations: evacuation.OrderSnapshot | None = None
 
 
@@ -255,7 +256,7 @@
         """
         try:
             beacon = _beacons.decode(data)
-        except msgspec.MsgspecError as exc:
+        except fields.DECODING_ERRORS as exc:
             raise errors.ControlError(
                 f"cannot decode beacon of {host}: {exc}"
             ) from exc
@@ -351,7 +352,7 @@
         """
         try:
             snapshot = _snapshots.decode(data)
-        except msgspec.MsgspecError as exc:
+        except fields.DECODING_ERRORS as exc:
             raise errors.ControlError(
                 f"cannot decode snapshot of a peer: {exc}"
             ) from exc
--- a/src/cyclamenridge/flow/routes.py
+++ b/src/cyclamenridge/flow/routes.py
@@ -5,12 +5,14 @@
 
 import msgspec
 
+from cyclamenridge.flow import fields
+
 
 class Target(msgspec.Struct, frozen=True):
     """Service that a route targets, with its weight for new flows."""
 
     service: str
-    weight: float
+    weight: fields.Amount
 
 
 class Route(msgspec.Struct, frozen=True):
@@ -25,12 +27,12 @@
 
     name: str
     host: int
-    port: int
+    port: fields.Number
     targets: tuple[Target, ...]
     idempotent: bool
-    deadline_ms: int
-    aim_ms: int
-    rank: int
+    deadline_ms: fields.Duration
+    aim_ms: fields.Duration
+    rank: fields.Number
 
     def pick_service(self, rng: random.Random) -> str:
         """Return a target service, drawn at random by weight."""
@@ -50,8 +52,8 @@
         for no limit
     """
 
-    duration_ms: int
-    flows_per_s: float
+    duration_ms: fields.Duration
+    flows_per_s: fields.Amount
 
 
 class RouteTable(msgspec.Struct, frozen=True):
@@ -64,11 +66,11 @@
         send them in snapshots
     """
 
-    version: int
+    version: fields.Version
     routes: Mapping[tuple[int, int], Route]
     services: frozenset[str]
-    idle_ms: int
-    epoch: int = 0
+    idle_ms: fields.Duration
+    epoch: fields.Version = 0
     warmups: Mapping[str, Warmup] = {}
 
     def preferred_keys(self) -> frozenset[tuple[int, int]]:
--- a/src/cyclamenridge/platform/records.py
+++ b/src/cyclamenridge/platform/records.py
@@ -9,6 +9,7 @@
 from cyclamenridge import address as address_lib
 from cyclamenridge import errors
 from cyclamenridge.flow import directory
+from cyclamenridge.flow import fields
 from cyclamenridge.flow import routes
 from cyclamenridge.ports import records
 
@@ -25,22 +26,13 @@
     "upload": False,
 }
 
-# What decoding raises for an invalid value: also for a number that is too
-# large to convert, and for values nested too deeply.
-_DECODING_ERRORS = (
-    msgspec.MsgspecError,
-    ValueError,
-    OverflowError,
-    RecursionError,
-)
-
 _NON_HEX = re.compile(r"[^0-9a-fA-F]")
 _IDENT_LIMIT = 2**64
 
 
 class _Target(msgspec.Struct):
     service: str
-    weight: float
+    weight: fields.Amount
 
 
 class _Route(msgspec.Struct):
@@ -51,10 +43,10 @@
     prefix: str
     # One of _REQUEST_TYPES.
     type: str
-    timeout_ms: int
-    target_latency_ms: int
+    timeout_ms: fields.Duration
+    target_latency_ms: fields.Duration
     # 0 is the highest priority.
-    priority: int = 0
+    priority: fields.Number = 0
     service: str | None = None
     weighted_targets: list[_Target] | None = None
 
@@ -62,32 +54,32 @@
 class _Service(msgspec.Struct):
     name: str
     # How long a server stays cold after its start.
-    warmup_s: float | None = None
+    warmup_s: fields.Seconds | None = None
     # Requests a second that a cold server can handle; 0 means no limit.
-    warmup_per_s: float | None = None
+    warmup_per_s: fields.Amount | None = None
 
 
 class _Limits(msgspec.Struct):
-    idle_timeout_ms: int
+    idle_timeout_ms: fields.Duration
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: fields.Version
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
 
 
 class _Server(msgspec.Struct):
-    service: str
+    service: fields.Name
     address: str
-    zone: str
-    slots: int
+    zone: fields.Name
+    slots: fields.Count
     state: str
     # Remaining warm-up time when the entry was written.
-    warmup_left_ms: float
+    warmup_left_ms: fields.Amount
     # Start of the incarnation, Unix time in milliseconds.
-    born: int = 0
+    born: fields.Timestamp = 0
 
 
 _config_decoder = msgspec.json.Decoder(_Config)
@@ -139,7 +131,7 @@
             table = {}
             for route in cfg.routes:
                 host = int(ipaddress.IPv4Address(route.host))
-                port = int(route.prefix.strip("/"))
+                port = _decode_port(route.prefix)
                 table[host, port] = routes.Route(
                     name=route.name,
                     host=host,
@@ -155,7 +147,7 @@
                 for service in cfg.services
                 if service.warmup_s or service.warmup_per_s
             }
-        except _DECODING_ERRORS as exc:
+        except fields.DECODING_ERRORS as exc:
             raise errors.ConfigError(f"invalid configuration: {exc}") from exc
         return routes.RouteTable(
             version=cfg.version,
@@ -189,14 +181,12 @@
         try:
             server = _server_decoder.decode(value)
             ident = int(digits, 16)
-            address = address_lib.Address.parse(server.address)
+            address = _decode_address(server.address)
             state = directory.ServerState(server.state)
-        except (*_DECODING_ERRORS, errors.ConfigError) as exc:
+        except (*fields.DECODING_ERRORS, errors.ConfigError) as exc:
             raise errors.StoreError(f"invalid entry {key!r}: {exc}") from exc
-        if not 0 < ident < _IDENT_LIMIT or server.slots < 1:
-            raise errors.StoreError(
-                f"invalid entry {key!r}: id or slots out of range"
-            )
+        if not 0 < ident < _IDENT_LIMIT:
+            raise errors.StoreError(f"invalid entry {key!r}: id out of range")
         return directory.ServerEntry(
             name=name,
             ident=ident,
@@ -212,6 +202,20 @@
         )
 
 
+def _decode_port(prefix: str) -> int:
+    """Return the port of a route; no packet has one over 65535."""
+    return msgspec.convert(int(prefix.strip("/")), fields.Number, strict=True)
+
+
+def _decode_address(text: str) -> address_lib.Address:
+    """Return the address of a single machine."""
+    address = address_lib.Address.parse(text)
+    host = ipaddress.IPv4Address(address.host)
+    if host.is_unspecified or host.is_multicast or host.is_reserved:
+        raise errors.ConfigError(f"{text!r} is no address of a machine")
+    return address
+
+
 def _decode_warmup(service: _Service) -> routes.Warmup:
     return routes.Warmup(
         duration_ms=max(0, round((service.warmup_s or 0) * 1000)),
--- a/src/cyclamenridge/platform/store.py
+++ b/src/cyclamenridge/platform/store.py
@@ -10,6 +10,7 @@
 from cyclamenridge.adapters import http
 import cyclamenridge.address as address_lib
 import cyclamenridge.errors as errors
+from cyclamenridge.flow import fields
 from cyclamenridge.ports import store
 
 CONNECT_TIMEOUT_MS = 1000
@@ -333,7 +334,7 @@
         raise _status_error(response)
     try:
         return msgspec.json.decode(response.body, type=kind)
-    except msgspec.MsgspecError as exc:
+    except fields.DECODING_ERRORS as exc:
         if kind is _MissingKeyResponse:
             return kind()
         raise errors.StoreError(
--- a/tests/flow/test_peers.py
+++ b/tests/flow/test_peers.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from cyclamenridge import address as address_lib
 from cyclamenridge import compose_flows
 from cyclamenridge import errors
 from cyclamenridge.flow import peers as peers_lib
@@ -471,6 +472,44 @@
         node.peers.apply_snapshot(0, data + b"\xc1")
 
 
+def test_values_nested_too_deeply_are_refused():
+    """Other exceptions than ControlError end the task that decodes them."""
+    node = Node(1, *SERVERS)
+    nested = b"\x91" * 100_000 + b"\x01"
+    beacon = Node(2, *SERVERS).peers.encode_beacon()
+    with pytest.raises(errors.ControlError):
+        node.peers.handle_beacon(
+            0, "10.0.0.9", bytes([beacon[0] + 1]) + beacon[1:] + nested
+        )
+    snapshot = Node(2, *SERVERS).peers.encode_snapshot()
+    with pytest.raises(errors.ControlError):
+        node.peers.apply_snapshot(
+            0, bytes([snapshot[0] + 1]) + snapshot[1:] + b"\xa1x" + nested
+        )
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"slots": 0},
+        {"slots": 2**40},
+        {"warmup_ms": 2**40},
+        {"born_ms": -1},
+        {"failure_domain": "x" * 1000},
+        {"address": address_lib.Address("localhost", 80)},
+        {"address": address_lib.Address("10.0.0.1", 70_000)},
+    ],
+)
+def test_a_snapshot_with_a_value_out_of_range_is_refused(changes):
+    """A host that is no address would be looked up by name."""
+    node = Node(1, *SERVERS)
+    sender = Node(2, builders.server_entry(3, revision=90, **changes))
+    sender.core.directory.advance(builders.at(90))
+    with pytest.raises(errors.ControlError):
+        node.peers.apply_snapshot(0, sender.peers.encode_snapshot())
+    assert len(node.core.directory) == 2
+
+
 def test_the_cost_of_a_beacon_does_not_grow_with_the_fleet():
     """2,700 servers are expected, and a process sends 5 beacons a second."""
     node = Node(
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -1,14 +1,22 @@
 import contextlib
 import json
+import os
+import random
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
-from cyclamenridge import errors
+from cyclamenridge.adapters import jsonlog
+import cyclamenridge.clock as clock_lib
+import cyclamenridge.errors as errors
 from cyclamenridge.flow import directory
+from cyclamenridge.flow import peers as peers_lib
 from cyclamenridge.flow import routes
+import cyclamenridge.flow_reports as flow_reports
 from cyclamenridge.platform import records
+from tests.flow import builders
 
 RECORDS = records.PlatformRecordDecoder()
 SERVER = {
@@ -213,3 +221,153 @@
         "a": routes.Warmup(2500, 0.5),
         "b": routes.Warmup(2000, 0),
     }
+
+
+DEV_NULL = os.open(os.devnull, os.O_WRONLY)
+
+# JSON values that another writer may leave in any field.
+ODD_VALUES = strategies.one_of(
+    strategies.sampled_from(
+        (
+            "1e400",
+            "1e308",
+            "-1",
+            "1" + "0" * 30,
+            "-1" + "0" * 30,
+            str(2**31),
+            str(2**63),
+            str(2**64),
+            "0.0",
+            "2.5",
+            "null",
+            "true",
+            "[" * 5000 + "]" * 5000,
+            '{"a":' * 3000 + "1" + "}" * 3000,
+            '""',
+            '"\\u0000"',
+            '"\\ud800"',
+            json.dumps("x" * 100_000),
+            '"10.0.0.1:65536"',
+            '"10.0.0.1:0"',
+            '"10.0.0.1:-1"',
+            '"10.0.0.1: 80"',
+            '"10.0.0.1:\\u0668\\u0660"',
+            '"10.0.0.1:' + "9" * 5000 + '"',
+            '"255.255.255.255:80"',
+            '"0.0.0.0:80"',
+            '"localhost:80"',
+        )
+    ),
+    strategies.integers().map(str),
+    strategies.floats(allow_nan=False, allow_infinity=False).map(json.dumps),
+    strategies.text(max_size=300).map(json.dumps),
+)
+ODD_KEYS = strategies.one_of(
+    strategies.text(max_size=30).map("servers/".__add__),
+    strategies.sampled_from(
+        ("servers/i-7", "servers/" + "f" * 192, "servers/a/b", "servers/\n7")
+    ),
+)
+
+
+def odd_document(fields, changes):
+    """Return a JSON document with some fields replaced by raw JSON text."""
+    items = {key: json.dumps(value) for key, value in fields.items()}
+    items.update(changes)
+    return (
+        "{" + ",".join(f"{json.dumps(k)}:{v}" for k, v in items.items()) + "}"
+    ).encode("utf-8", "surrogatepass")
+
+
+def drive_through_product(core, peer):
+    """Use what a core knows: flows, beacons, snapshots, pages."""
+    for number in range(4):
+        builders.Flow(core, client_port=number).syn(10)
+    core.release(20)
+    core.sweep(5000)
+    sender, receiver = (
+        peers_lib.Peers(
+            item,
+            name="node",
+            failure_domain="bne",
+            host=host,
+            seeds=(),
+            lag_tolerance_ms=1500,
+            rng=random.Random(1),
+        )
+        for item, host in ((core, "10.0.0.1"), (peer, "10.0.0.2"))
+    )
+    receiver.handle_beacon(10, "10.0.0.1", sender.encode_beacon())
+    assert receiver.apply_snapshot(10, sender.encode_snapshot())
+    pages = flow_reports.MonitoringPages(
+        peer,
+        receiver,
+        jsonlog.JsonLog(DEV_NULL, node="node"),
+        clock_lib.ManualClock(20),
+    )
+    for target in ("/metrics", "/dump"):
+        assert pages.page(target).status == 200
+
+
+@hypothesis.settings(deadline=None, max_examples=300)
+@hypothesis.given(
+    key=ODD_KEYS,
+    changes=strategies.dictionaries(
+        strategies.sampled_from((*SERVER, "notes")), ODD_VALUES, max_size=3
+    ),
+)
+@hypothesis.example(key="servers/i-7", changes={"slots": str(2**64)})
+@hypothesis.example(key="servers/i-7", changes={"warmup_left_ms": "1e308"})
+@hypothesis.example(key="servers/i-7", changes={"born": str(-(2**64))})
+def test_an_odd_entry_is_refused_or_usable_everywhere(key, changes):
+    """An odd number made all snapshots for peers fail."""
+    try:
+        entry = RECORDS.decode_server(key, odd_document(SERVER, changes), 9)
+    except errors.StoreError:
+        return
+    config = RECORDS.decode_config(json.dumps(CONFIG).encode())
+    core = builders.make_core(
+        builders.server_entry(1), entry, config=builders.CONFIG
+    )
+    core.directory.put(
+        0, msgspec.structs.replace(entry, service="counter", revision=10)
+    )
+    core.directory.advance(builders.at(20))
+    peer = builders.make_core(config=config)
+    drive_through_product(core, peer)
+    assert peer.directory.get(entry.name).entry.address == entry.address
+
+
+@hypothesis.settings(deadline=None, max_examples=300)
+@hypothesis.given(
+    changes=strategies.dictionaries(
+        strategies.sampled_from((*CONFIG, "notes")), ODD_VALUES, max_size=2
+    ),
+    route_changes=strategies.dictionaries(
+        strategies.sampled_from(tuple(CONFIG["routes"][0])),
+        ODD_VALUES,
+        max_size=3,
+    ),
+)
+@hypothesis.example(changes={"version": str(2**64)}, route_changes={})
+@hypothesis.example(changes={}, route_changes={"timeout_ms": str(2**64)})
+def test_an_odd_configuration_is_refused_or_usable_everywhere(
+    changes, route_changes
+):
+    """An odd version ended the task that sends beacons."""
+    route = odd_document(CONFIG["routes"][0], route_changes)
+    changes = {
+        "routes": f"[{route.decode('utf-8', 'surrogatepass')}]",
+        **changes,
+    }
+    try:
+        config = RECORDS.decode_config(odd_document(CONFIG, changes))
+    except errors.ConfigError:
+        return
+    core = builders.make_core(builders.server_entry(1), config=config)
+    for item in config.routes.values():
+        item.pick_service(random.Random(1))
+    peer = builders.make_core(config=None)
+    core.directory.advance(builders.at(20))
+    drive_through_product(core, peer)
+    assert peer.routes == config
